Serve requests end to end: entries, agents, command line, stand-ins

Cause: nothing existed. The first need is one thin path that runs as separate processes, from an operator's inventory to a caller's answer.

Change: checked types and INI configuration (bw-model, bw-conf), the micro-kernel (bw-kernel), links over nng with resending off (bw-link), messages (bw-proto), the object API client with a call budget, accepted configuration and claim shards (bw-platform), the decision cores for attempts, claims, routing, membership, leases and the map switch, and the programs bw-entry, bw-agent, bwctl, bw-fake and bw-measure.

Failures by kill, silence and outage are not proved yet.

--- /dev/null
+++ b/crates/bw-agent/src/experts.rs
@@ -0,0 +1,390 @@
+//! Switches expert maps together with the agents of the other ranks.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bw_duty::fencing::Passage;
+use bw_duty::FenceGuard;
+use bw_duty::Lease;
+use bw_expert::switch::Event;
+use bw_expert::switch::Phase;
+use bw_expert::Coordinator;
+use bw_expert::EngineOrder;
+use bw_expert::GroupReport;
+use bw_expert::Message;
+use bw_expert::Order;
+use bw_expert::OrderReply;
+use bw_expert::Rank;
+use bw_kernel::Stop;
+use bw_link::Pool;
+use bw_model::Incarnation;
+use bw_platform::Purpose;
+use bw_platform::Store;
+use bw_proto::decode;
+use bw_proto::encode;
+use bw_proto::AgentReply;
+use bw_proto::AgentRequest;
+use bw_proto::AgentView;
+use futures::future::join_all;
+use log::info;
+use log::warn;
+use tokio::sync::Mutex;
+
+use crate::engine::Engine;
+use crate::error::AgentError;
+use crate::view::CurrentView;
+
+const TICK: Duration = Duration::from_millis(100);
+const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Ticks after which a switch that is not decided is given up.
+const PATIENCE_TICKS: u32 = 3_000;
+
+/// What one group's agent does with expert maps.
+#[derive(Clone)]
+pub struct Experts {
+    incarnation: Incarnation,
+    pool: Pool,
+    store: Option<Store>,
+    margin: u64,
+    view: CurrentView,
+    state: Arc<Mutex<State>>,
+}
+
+/// State that starts anew with each life of the agent.
+#[derive(Default)]
+struct State {
+    rank: Option<Rank>,
+    coordinator: Option<Coordinator>,
+    fence: FenceGuard,
+    /// Map whose weights are being loaded.
+    loading: Option<bw_model::MapVersion>,
+    /// Ticks since the present switch began.
+    ticks: u32,
+}
+
+impl Experts {
+    /// A new life.
+    pub fn new(
+        incarnation: Incarnation,
+        pool: Pool,
+        store: Option<Store>,
+        margin: u64,
+        view: CurrentView,
+    ) -> Self {
+        let state = Arc::new(Mutex::new(State::default()));
+        Self {
+            incarnation,
+            pool,
+            store,
+            margin,
+            view,
+            state,
+        }
+    }
+
+    /// Resends, proposes and asks for verdicts until `stop`.
+    ///
+    /// # Errors
+    /// None.
+    pub async fn run(self, mut stop: Stop) -> Result<(), Infallible> {
+        let mut ticks = tokio::time::interval(TICK);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = ticks.tick() => {
+                    if let Some(view) = self.group_view() {
+                        if let Err(error) = self.tick(&view).await {
+                            warn!("event=switch_delayed reason=\"{error}\"");
+                        }
+                    }
+                }
+                () = stop.wait() => return Ok(()),
+            }
+        }
+    }
+
+    /// Takes a message of another rank's agent and returns the answers to it.
+    pub async fn handle(&self, message: Message) -> Vec<Message> {
+        let Some(view) = self.group_view() else {
+            return Vec::new();
+        };
+        match self.handle_for(&view, message).await {
+            Ok(replies) => replies,
+            Err(error) => {
+                warn!("event=switch_message_unanswered reason=\"{error}\"");
+                Vec::new()
+            }
+        }
+    }
+
+    /// Takes an order of the planner.
+    pub async fn order(&self, order: Order) -> OrderReply {
+        let Some(view) = self.group_view() else {
+            return OrderReply::Unfit;
+        };
+        let experts = view.shape.map_or(0, |shape| shape.experts as usize);
+        if view.rank != 0 || order.map.check(experts).is_err() {
+            return OrderReply::Unfit;
+        }
+        self.learn_fence(&view).await;
+        let mut state = self.state.lock().await;
+        match state.fence.check(order.fence) {
+            Passage::Stale(known) => return OrderReply::Stale(known),
+            Passage::Unlearned => return OrderReply::Unlearned,
+            Passage::Pass => {}
+        }
+        let Some(coordinator) = &mut state.coordinator else {
+            return OrderReply::Busy;
+        };
+        match coordinator.prepare(order.map) {
+            Some(version) => {
+                state.ticks = 0;
+                info!(
+                    "event=switch_begun endpoint={} map={version}",
+                    view.endpoint
+                );
+                OrderReply::Begun(version)
+            }
+            None => OrderReply::Busy,
+        }
+    }
+
+    /// Demand and state of the group for the planner.
+    pub async fn report(&self) -> GroupReport {
+        let Some(view) = self.group_view() else {
+            return GroupReport::default();
+        };
+        let engine = Engine::new(view.backend);
+        let busy = match &self.state.lock().await.coordinator {
+            Some(coordinator) => *coordinator.phase() != Phase::Idle,
+            None => true,
+        };
+        let (map, state) = tokio::join!(engine.map(), engine.state());
+        let demand = engine.demand().await.unwrap_or_default();
+        let step = state.map_or(0, |state| state.step);
+        GroupReport {
+            map: map.ok().flatten(),
+            step,
+            busy,
+            demand,
+        }
+    }
+
+    /// Map version in force at this rank.
+    pub async fn map_version(&self) -> bw_model::MapVersion {
+        let Some(view) = self.group_view() else {
+            return bw_model::MapVersion(0);
+        };
+        let state = Engine::new(view.backend).state().await;
+        state.map_or(bw_model::MapVersion(0), |state| state.map)
+    }
+
+    fn group_view(&self) -> Option<Arc<AgentView>> {
+        let view = self.view.borrow().clone();
+        view.filter(|view| view.shape.is_some())
+    }
+
+    /// After a restart no order is obeyed before the lease's fencing number is known.
+    async fn learn_fence(&self, view: &AgentView) {
+        let Some(store) = &self.store else { return };
+        if self.state.lock().await.fence.known().is_some() {
+            return;
+        }
+        let name = format!("plan-{}", view.endpoint);
+        if let Ok(object) = store.get(Purpose::Read, "leases", &name).await {
+            let lease = object.and_then(|object| object.content::<Lease>().ok());
+            self.state
+                .lock()
+                .await
+                .fence
+                .learn(lease.unwrap_or_default().fence);
+        }
+    }
+
+    async fn tick(&self, view: &AgentView) -> Result<(), AgentError> {
+        if view.rank == 0 {
+            self.coordinate(view).await?;
+        }
+        let engine_state = Engine::new(view.backend).state().await?;
+        let question = {
+            let mut state = self.state.lock().await;
+            self.rank_of(&mut state, view).blocked(&engine_state)
+        };
+        if let Some(question) = question {
+            self.ask_verdict(view, question).await;
+        }
+        Ok(())
+    }
+
+    async fn coordinate(&self, view: &AgentView) -> Result<(), AgentError> {
+        let step = Engine::new(view.backend).state().await?.step;
+        let outbox = {
+            let mut state = self.state.lock().await;
+            state.ticks += 1;
+            let ticks = state.ticks;
+            let ranks = view.ranks.len();
+            let coordinator = state
+                .coordinator
+                .get_or_insert_with(|| Coordinator::new(ranks, rand::random()));
+            let mut outbox = coordinator.propose(step + self.margin);
+            if outbox.is_empty() {
+                outbox = coordinator.resend();
+            }
+            let undecided = matches!(
+                coordinator.phase(),
+                Phase::Preparing { .. } | Phase::Proposing { .. }
+            );
+            if undecided && ticks > PATIENCE_TICKS {
+                warn!("event=switch_given_up endpoint={}", view.endpoint);
+                outbox = coordinator.give_up();
+            }
+            outbox
+        };
+        self.carry(view, outbox).await;
+        Ok(())
+    }
+
+    /// Sends messages and feeds the answers back until nothing more is to be sent.
+    async fn carry(&self, view: &AgentView, mut outbox: Vec<(u32, Message)>) {
+        while !outbox.is_empty() {
+            let mut calls = Vec::new();
+            for (rank, message) in outbox.drain(..) {
+                calls.push(self.send(view, rank, message));
+            }
+            let replies = join_all(calls).await;
+            let mut state = self.state.lock().await;
+            let Some(coordinator) = &mut state.coordinator else {
+                return;
+            };
+            for reply in replies.into_iter().flatten() {
+                outbox.extend(coordinator.handle(&reply));
+            }
+            log_events(view, coordinator.take_events());
+        }
+    }
+
+    async fn send(&self, view: &AgentView, rank: u32, message: Message) -> Vec<Message> {
+        if rank == view.rank {
+            return self.handle_rank(view, &message).await.unwrap_or_default();
+        }
+        let Some(address) = view.ranks.get(rank as usize) else {
+            return Vec::new();
+        };
+        self.call(*address, message).await
+    }
+
+    async fn call(&self, address: SocketAddr, message: Message) -> Vec<Message> {
+        let Ok(bytes) = encode(&AgentRequest::Switch(message)) else {
+            return Vec::new();
+        };
+        let Ok(reply) = self.pool.call(address, &bytes, CALL_LIMIT).await else {
+            return Vec::new();
+        };
+        match decode(&reply) {
+            Ok(AgentReply::Switch(messages)) => messages,
+            _ => Vec::new(),
+        }
+    }
+
+    async fn handle_for(
+        &self,
+        view: &AgentView,
+        message: Message,
+    ) -> Result<Vec<Message>, AgentError> {
+        let mut replies = Vec::new();
+        if view.rank == 0 && matches!(message, Message::Blocked { .. }) {
+            let mut state = self.state.lock().await;
+            if let Some(coordinator) = &mut state.coordinator {
+                let outbox = coordinator.handle(&message);
+                replies.extend(outbox.into_iter().map(|(_, message)| message));
+            }
+        }
+        replies.extend(self.handle_rank(view, &message).await?);
+        Ok(replies)
+    }
+
+    /// Follows one message: reads the engine's state, gives the order, answers by its result.
+    async fn handle_rank(
+        &self,
+        view: &AgentView,
+        message: &Message,
+    ) -> Result<Vec<Message>, AgentError> {
+        let engine = Engine::new(view.backend);
+        // One message at a time: the engine's state must not change by another one in between.
+        let mut state = self.state.lock().await;
+        let before = engine.state().await?;
+        let action = self.rank_of(&mut state, view).handle(message, &before);
+        let Some(order) = action.order else {
+            return Ok(action.done.into_iter().collect());
+        };
+        if let EngineOrder::Load(map) = &order {
+            // Loading takes long. The coordinator asks again until the engine shows the map.
+            if state.loading != Some(map.version) {
+                state.loading = Some(map.version);
+                tokio::spawn(self.clone().load(engine, order));
+            }
+            return Ok(Vec::new());
+        }
+        let taken = engine.order(&order).await?;
+        let answer = if taken { action.done } else { action.failed };
+        Ok(answer.into_iter().collect())
+    }
+
+    async fn load(self, engine: Engine, order: EngineOrder) {
+        let result = engine.order(&order).await;
+        self.state.lock().await.loading = None;
+        if let Err(error) = result {
+            warn!("event=weights_not_loaded reason=\"{error}\"");
+        }
+    }
+
+    /// Asks the coordinator, then the other ranks, for the verdict on the held step.
+    async fn ask_verdict(&self, view: &AgentView, question: Message) {
+        let others = (0..view.ranks.len() as u32).filter(|rank| *rank != view.rank);
+        for rank in others {
+            let replies = self.send(view, rank, question.clone()).await;
+            for reply in &replies {
+                if let Ok(answers) = self.handle_rank(view, reply).await {
+                    self.return_answers(view, rank, answers).await;
+                }
+            }
+            if !replies.is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Hands answers to a verdict that came as an answer back to the coordinator.
+    async fn return_answers(&self, view: &AgentView, rank: u32, answers: Vec<Message>) {
+        for answer in answers {
+            self.send(view, rank, answer).await;
+        }
+    }
+
+    fn rank_of<'a>(&self, state: &'a mut State, view: &AgentView) -> &'a mut Rank {
+        state
+            .rank
+            .get_or_insert_with(|| Rank::new(view.rank, self.incarnation))
+    }
+}
+
+fn log_events(view: &AgentView, events: Vec<Event>) {
+    let endpoint = &view.endpoint;
+    for event in events {
+        match event {
+            Event::Collected => info!("event=ranks_collected endpoint={endpoint}"),
+            Event::Settled { hold, commit } => {
+                let verdict = if commit { "commit" } else { "abort" };
+                let (map, step) = (hold.version, hold.step);
+                info!(
+                    "event=switch_settled endpoint={endpoint} verdict={verdict} map={map} step={step}"
+                );
+            }
+            Event::Broken { rank } => {
+                warn!("event=rank_lost_state endpoint={endpoint} rank={rank}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bw-agent/src/runner.rs
@@ -0,0 +1,277 @@
+//! Runs an attempt against the engine or service and records its answer.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bw_http::Client;
+use bw_http::ClientError;
+use bw_once::Crash;
+use bw_once::End;
+use bw_once::Head;
+use bw_proto::agent::Dispatch;
+use bw_proto::AgentView;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::Request;
+use hyper::Response;
+use log::info;
+use log::warn;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
+
+use crate::attempts::Attempts;
+use crate::attempts::Cancelled;
+use crate::attempts::HELD_MAX;
+use crate::beat::Crashes;
+
+/// Pause of the engine's stream while the reader is far behind.
+const BACKPRESSURE: Duration = Duration::from_millis(20);
+/// Time between two questions whether a dead engine is back.
+const HEALTH_PAUSE: Duration = Duration::from_millis(100);
+const HEALTH_LIMIT: Duration = Duration::from_millis(500);
+/// Weight of the newest service time in the mean.
+const TIME_WEIGHT: f64 = 0.1;
+
+/// Mean time of recent requests.
+#[derive(Clone, Default)]
+pub struct ServiceTime {
+    millis: Arc<AtomicU32>,
+}
+
+impl ServiceTime {
+    /// Notes a request's time.
+    pub fn note(&self, time: Duration) {
+        let old = f64::from(self.millis.load(Ordering::Relaxed));
+        let new = time.as_secs_f64() * 1_000.0;
+        let mean = if old == 0.0 {
+            new
+        } else {
+            old + (new - old) * TIME_WEIGHT
+        };
+        self.millis.store(mean.round() as u32, Ordering::Relaxed);
+    }
+
+    /// The mean in milliseconds; 0 when nothing ran yet.
+    pub fn millis(&self) -> u32 {
+        self.millis.load(Ordering::Relaxed)
+    }
+}
+
+/// Runs attempts.
+#[derive(Clone)]
+pub struct Runner {
+    client: Client,
+    attempts: Attempts,
+    time: ServiceTime,
+    crashes: Crashes,
+    /// Whether the engine is known to be dead.
+    dead: Arc<AtomicBool>,
+    crash_number: Arc<AtomicU32>,
+}
+
+/// Why an attempt did not end in whole.
+enum Failure {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The endpoint broke off.
+    Broken(String),
+    /// The time left ran out.
+    Late,
+    /// Nobody waits for it.
+    Cancelled,
+}
+
+impl Runner {
+    /// A runner for the backend of one agent.
+    pub fn new(attempts: Attempts, time: ServiceTime, crashes: Crashes) -> Self {
+        Self {
+            client: Client::new(),
+            attempts,
+            time,
+            crashes,
+            dead: Arc::default(),
+            crash_number: Arc::default(),
+        }
+    }
+
+    /// Runs one attempt to its end.
+    pub async fn run(self, dispatch: Dispatch, view: Arc<AgentView>, mut cancelled: Cancelled) {
+        let started = Instant::now();
+        let (attempt, once) = (dispatch.attempt, dispatch.once);
+        let request = dispatch.request.clone();
+        let deadline = started + Duration::from_millis(dispatch.limit);
+        let result = tokio::select! {
+            result = self.exchange(&dispatch, &view, deadline) => result,
+            () = wait_cancelled(&mut cancelled) => Err(Failure::Cancelled),
+        };
+        let millis = started.elapsed().as_millis();
+        match result {
+            Ok(()) => {
+                self.time.note(started.elapsed());
+                self.attempts.finish(attempt, End::Whole);
+                info!("event=attempt_ended request={request} attempt={attempt} ms={millis}");
+            }
+            Err(Failure::Unsent(reason)) if once => {
+                // The request did not reach the endpoint, so another one may take it.
+                self.attempts.revoke(attempt);
+                warn!(
+                    "event=attempt_unsent request={request} attempt={attempt} reason=\"{reason}\""
+                );
+            }
+            Err(failure) => self.fail(&dispatch, &view, failure, millis).await,
+        }
+    }
+
+    async fn fail(&self, dispatch: &Dispatch, view: &AgentView, failure: Failure, millis: u128) {
+        let (end, reason) = match failure {
+            Failure::Unsent(reason) => (End::Failed, reason),
+            Failure::Broken(reason) => (End::Crashed(self.note_crash(view)), reason),
+            Failure::Late => (End::Failed, "deadline".to_string()),
+            Failure::Cancelled => (End::Cancelled, "cancelled".to_string()),
+        };
+        self.attempts.finish(dispatch.attempt, end);
+        warn!(
+            "event=attempt_failed request={} attempt={} ms={millis} reason=\"{reason}\"",
+            dispatch.request, dispatch.attempt
+        );
+    }
+
+    async fn exchange(
+        &self,
+        dispatch: &Dispatch,
+        view: &AgentView,
+        deadline: Instant,
+    ) -> Result<(), Failure> {
+        let request = build_request(dispatch, view).map_err(Failure::Unsent)?;
+        let limit = deadline.saturating_duration_since(Instant::now());
+        let response = self
+            .client
+            .send(request, limit)
+            .await
+            .map_err(|error| match error {
+                ClientError::Connect(reason) | ClientError::Request(reason) => {
+                    Failure::Unsent(reason)
+                }
+                ClientError::Timeout(_) => Failure::Late,
+                other => Failure::Broken(other.to_string()),
+            })?;
+        self.attempts.set_head(dispatch.attempt, head_of(&response));
+        let mut body = response.into_body();
+        loop {
+            let frame = match timeout_at(deadline, body.frame()).await {
+                Err(_) => return Err(Failure::Late),
+                Ok(None) => return Ok(()),
+                Ok(Some(Err(error))) => return Err(Failure::Broken(error.to_string())),
+                Ok(Some(Ok(frame))) => frame,
+            };
+            if let Ok(data) = frame.into_data() {
+                self.append(dispatch, &data, deadline).await?;
+            }
+        }
+    }
+
+    /// Records bytes, and holds the engine's stream back while the reader is far behind.
+    async fn append(
+        &self,
+        dispatch: &Dispatch,
+        data: &Bytes,
+        deadline: Instant,
+    ) -> Result<(), Failure> {
+        let mut held = self.attempts.append(dispatch.attempt, data);
+        while held > HELD_MAX {
+            if Instant::now() >= deadline {
+                return Err(Failure::Late);
+            }
+            tokio::time::sleep(BACKPRESSURE).await;
+            held = self.attempts.append(dispatch.attempt, &[]);
+        }
+        Ok(())
+    }
+
+    /// Names the requests in flight when the engine dies. Cuts that follow belong to that death.
+    fn note_crash(&self, view: &AgentView) -> u32 {
+        if self.dead.swap(true, Ordering::AcqRel) {
+            return self.crash_number.load(Ordering::Relaxed);
+        }
+        let number = self.crash_number.fetch_add(1, Ordering::Relaxed) + 1;
+        let fingerprints = self.attempts.running_fingerprints();
+        warn!(
+            "event=engine_died endpoint={} in_flight={}",
+            view.endpoint,
+            fingerprints.len()
+        );
+        self.crashes.add(Crash {
+            endpoint: view.endpoint.clone(),
+            incarnation: self.attempts.incarnation(),
+            number,
+            fingerprints,
+        });
+        tokio::spawn(
+            self.clone()
+                .wait_alive(format!("http://{}/health", view.backend)),
+        );
+        number
+    }
+
+    async fn wait_alive(self, url: String) {
+        loop {
+            tokio::time::sleep(HEALTH_PAUSE).await;
+            let reply = self.client.get(&url, HEALTH_LIMIT).await;
+            if reply.is_ok_and(|reply| reply.status == 200) {
+                self.dead.store(false, Ordering::Release);
+                info!("event=engine_back");
+                return;
+            }
+        }
+    }
+
+    /// Whether the engine is known to be dead.
+    pub fn is_dead(&self) -> bool {
+        self.dead.load(Ordering::Acquire)
+    }
+}
+
+async fn wait_cancelled(cancelled: &mut Cancelled) {
+    if cancelled.wait_for(|set| *set).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+fn build_request(dispatch: &Dispatch, view: &AgentView) -> Result<Request<Full<Bytes>>, String> {
+    let call = &dispatch.call;
+    let uri = format!("http://{}{}", view.backend, call.path);
+    let mut builder = Request::builder().method(call.method.as_str()).uri(uri);
+    for (name, value) in &call.headers {
+        builder = builder.header(name, value);
+    }
+    builder = builder.header("x-request-id", &dispatch.request);
+    builder
+        .body(Full::from(call.body.clone()))
+        .map_err(|error| error.to_string())
+}
+
+fn head_of(response: &Response<Incoming>) -> Head {
+    const DROPPED: [&str; 5] = [
+        "connection",
+        "transfer-encoding",
+        "keep-alive",
+        "content-length",
+        "date",
+    ];
+    let kept = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| !DROPPED.contains(&name.as_str()));
+    let text = kept.filter_map(|(name, value)| {
+        Some((name.as_str().to_string(), value.to_str().ok()?.to_string()))
+    });
+    Head {
+        status: response.status().as_u16(),
+        headers: text.collect(),
+    }
+}
--- /dev/null
+++ b/crates/bw-ctl/src/lib.rs
@@ -0,0 +1,7 @@
+//! The operators' command line.
+
+pub mod commands;
+pub mod error;
+pub mod files;
+
+pub use error::CtlError;
--- /dev/null
+++ b/crates/bw-duty/src/lib.rs
@@ -0,0 +1,9 @@
+//! Leased duties and fencing numbers.
+
+pub mod fencing;
+pub mod lease;
+
+pub use fencing::FenceGuard;
+pub use lease::Lease;
+pub use lease::LeaseStep;
+pub use lease::Tenant;
--- /dev/null
+++ b/crates/bw-entry/src/lib.rs
@@ -0,0 +1,19 @@
+//! The entry: answers callers, admits, queues, routes and retries their requests.
+
+pub mod agents;
+pub mod claims;
+pub mod config;
+pub mod decisions;
+pub mod error;
+pub mod evidence;
+pub mod link;
+pub mod members;
+pub mod planner;
+pub mod queue;
+pub mod requests;
+pub mod routing;
+pub mod settings;
+pub mod web;
+
+pub use error::EntryError;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/bw-entry/src/planner.rs
@@ -0,0 +1,1 @@
+//! Plans expert maps of groups under leases.
--- /dev/null
+++ b/crates/bw-entry/src/requests/service.rs
@@ -0,0 +1,196 @@
+//! Calls of plain services: `/services/NAME/PATH`.
+
+use std::time::Duration;
+
+use bw_http::read_body;
+use bw_http::BodyError;
+use bw_model::fleet::CallRule;
+use bw_model::fleet::PoolKind;
+use bw_model::fleet::WorkspaceKey;
+use bw_model::hash::fingerprint;
+use bw_model::hash::hash_key;
+use bw_proto::Call;
+use bytes::Bytes;
+use viz::Request;
+use viz::RequestExt;
+use viz::Response;
+
+use super::chat::bearer_token;
+use super::chat::request_id;
+use super::chat::whole_response;
+use super::chat::TIMEOUT_HEADER;
+use super::context::Job;
+use super::context::Services;
+use super::fault::Fault;
+use super::once::KeyClaim;
+use super::once::LocalClaim;
+use super::repeatable::Answered;
+use super::sink::Buffer;
+use crate::config::Current;
+
+/// Time in which a caller has to send the body of its request.
+const BODY_LIMIT: Duration = Duration::from_secs(30);
+/// Header with the key under which a request may be repeated without running twice.
+const KEY_HEADER: &str = "idempotency-key";
+const KEY_BYTES_MAX: usize = 255;
+/// Path prefix of service calls.
+const PREFIX: &str = "/services/";
+/// Headers that concern the connection to this entry only.
+const OWN_HEADERS: [&str; 8] = [
+    "authorization",
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "te",
+    "transfer-encoding",
+    "upgrade",
+];
+
+impl Services {
+    /// Answers a service call.
+    pub async fn service(&self, request: Request) -> Response {
+        let id = request_id(&request);
+        let started = self.routing.now();
+        let result = self.try_service(request, &id).await;
+        self.note_result("service", result.as_ref().err(), started);
+        result.unwrap_or_else(|fault| fault.response(&id))
+    }
+
+    async fn try_service(&self, mut request: Request, id: &str) -> Result<Response, Fault> {
+        let token = bearer_token(&request);
+        let timeout = self.timeout_of(&request);
+        let key: Option<String> = request.header(KEY_HEADER);
+        if key
+            .as_ref()
+            .is_some_and(|key| key.is_empty() || key.len() > KEY_BYTES_MAX)
+        {
+            return Err(Fault::Body(format!(
+                "Idempotency-Key has 1 to {KEY_BYTES_MAX} bytes"
+            )));
+        }
+        let (service, path) = split_path(&request)?;
+        let method = request.method().to_string();
+        let headers = passed_headers(&request);
+        let current = self.config.current().ok_or(Fault::Starting)?;
+        let workspace = self.workspace_of(&current, token.as_deref())?;
+        let name = format!("service {service:?}");
+        let pool = current.fleet.pool(PoolKind::Service, &service);
+        let (pool, rules) = pool.ok_or_else(|| Fault::Unknown(name.clone()))?;
+        if !current.fleet.workspaces[workspace].pools.contains(&pool) {
+            return Err(Fault::Forbidden(name));
+        }
+        let once = key.is_some() || is_once(&rules.once, &method, &path);
+        let body = self.read_request(&mut request).await?;
+        let workspace_name = current.fleet.workspaces[workspace].name.to_string();
+        let job = Job {
+            id: id.to_string(),
+            pool,
+            workspace,
+            deadline: self.routing.now() + timeout,
+            fingerprint: fingerprint(&service, &path, &body),
+            blocks: Vec::new(),
+            call: Call {
+                method,
+                path,
+                headers,
+                body: body.to_vec(),
+            },
+            current,
+        };
+        let buffer = match (once, key) {
+            (false, _) => self.run_service(job).await?,
+            (true, Some(key)) => {
+                let key = hash_key(&workspace_name, &service, &key);
+                let table = KeyClaim {
+                    claims: self.claims.clone(),
+                    key,
+                };
+                self.run_detached(job, table).await?
+            }
+            (true, None) => self.run_detached(job, LocalClaim).await?,
+        };
+        Ok(whole_response(id, buffer))
+    }
+
+    async fn run_service(&self, job: Job) -> Result<Buffer, Fault> {
+        let mut buffer = Buffer::new(self.settings.answer);
+        match self.run_repeatable(job, &mut buffer).await? {
+            Answered::Whole => Ok(buffer),
+            Answered::CallerGone => Err(Fault::Failed("answer_too_large")),
+        }
+    }
+
+    /// Runs a request to its end even when its caller leaves: what has begun may not be cut.
+    async fn run_detached<T>(&self, job: Job, table: T) -> Result<Buffer, Fault>
+    where
+        T: super::once::ClaimTable + 'static,
+    {
+        let services = self.clone();
+        let task = tokio::spawn(async move { services.run_once(&job, table).await });
+        task.await.unwrap_or(Err(Fault::Unsettled("task_ended")))
+    }
+
+    /// Reads the body of a request within the limits of the settings.
+    pub async fn read_request(&self, request: &mut Request) -> Result<Bytes, Fault> {
+        let body = request
+            .incoming()
+            .map_err(|error| Fault::Body(error.to_string()))?;
+        read_body(body, self.settings.body, BODY_LIMIT)
+            .await
+            .map_err(|error| match error {
+                BodyError::Large(_) => Fault::Large(error.to_string()),
+                BodyError::Slow(_) => Fault::Slow(error.to_string()),
+                BodyError::Short(_) => Fault::Body(error.to_string()),
+            })
+    }
+
+    /// The time for a request: the settings', or less if the caller says so.
+    pub fn timeout_of(&self, request: &Request) -> Duration {
+        let given: Option<u64> = request.header(TIMEOUT_HEADER);
+        let limit = self.settings.timeout;
+        given.map_or(limit, |millis| Duration::from_millis(millis).min(limit))
+    }
+
+    /// The workspace that a token belongs to.
+    pub fn workspace_of(
+        &self,
+        current: &Current,
+        token: Option<&str>,
+    ) -> Result<WorkspaceKey, Fault> {
+        let hash = token.map(|token| blake3::hash(token.as_bytes()).to_hex().to_string());
+        let found = hash.and_then(|hash| current.fleet.workspace(&hash));
+        found.map(|(key, _)| key).ok_or(Fault::Token)
+    }
+}
+
+/// Service and path of a call, the path with its query.
+fn split_path(request: &Request) -> Result<(String, String), Fault> {
+    let path = request.path();
+    let rest = path.strip_prefix(PREFIX).unwrap_or("");
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    if service.is_empty() {
+        return Err(Fault::Unknown("service without a name".to_string()));
+    }
+    let query = request
+        .query_string()
+        .map_or(String::new(), |query| format!("?{query}"));
+    Ok((service.to_string(), format!("/{path}{query}")))
+}
+
+fn passed_headers(request: &Request) -> Vec<(String, String)> {
+    let kept = request
+        .headers()
+        .iter()
+        .filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()));
+    let text =
+        kept.filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())));
+    text.filter(|(name, _)| name != super::fault::REQUEST_HEADER)
+        .collect()
+}
+
+fn is_once(rules: &[CallRule], method: &str, path: &str) -> bool {
+    rules
+        .iter()
+        .any(|rule| rule.method == method && path.starts_with(&rule.path))
+}
--- /dev/null
+++ b/crates/bw-expert/src/lib.rs
@@ -0,0 +1,21 @@
+//! Expert maps: the switch that keeps all ranks on one map, and the policy that chooses maps.
+
+pub mod map;
+pub mod message;
+pub mod policy;
+pub mod switch;
+
+pub use map::ExpertMap;
+pub use map::Layer;
+pub use map::MapError;
+pub use message::Ballot;
+pub use message::EngineOrder;
+pub use message::EngineState;
+pub use message::GroupReport;
+pub use message::Hold;
+pub use message::Message;
+pub use message::Order;
+pub use message::OrderReply;
+pub use message::Reason;
+pub use switch::Coordinator;
+pub use switch::Rank;
--- /dev/null
+++ b/crates/bw-expert/src/policy/mod.rs
@@ -0,0 +1,1 @@
+//! Which map a group should have.
--- /dev/null
+++ b/crates/bw-fake/src/lib.rs
@@ -0,0 +1,10 @@
+//! Small stand-ins of the outside systems, for tests and the demo only.
+
+pub mod control;
+pub mod engine;
+pub mod platform;
+pub mod service;
+pub mod settings;
+pub mod weights;
+
+pub use settings::Settings;
--- /dev/null
+++ b/crates/bw-http/src/client.rs
@@ -0,0 +1,164 @@
+//! A client for one request at a time, with a limit on each.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::Client as HyperClient;
+use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::TokioTimer;
+use serde::Serialize;
+use tokio::time::timeout;
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_000);
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+
+/// Why a call failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClientError {
+    /// No connection; the request was not sent.
+    Connect(String),
+    /// The connection broke; the request may have been handled.
+    Broken(String),
+    /// No reply in time; the request may have been handled.
+    Timeout(Duration),
+    /// The request itself is not valid.
+    Request(String),
+    /// The reply is not what was expected.
+    Reply(String),
+}
+
+impl fmt::Display for ClientError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(reason) => write!(f, "cannot connect: {reason}"),
+            Self::Broken(reason) => write!(f, "connection broke: {reason}"),
+            Self::Timeout(limit) => write!(f, "no reply within {} ms", limit.as_millis()),
+            Self::Request(reason) => write!(f, "request is not valid: {reason}"),
+            Self::Reply(reason) => write!(f, "reply is not valid: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for ClientError {}
+
+/// A reply with its whole body.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// An HTTP/1.1 client that keeps connections.
+#[derive(Clone)]
+pub struct Client {
+    inner: HyperClient<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for Client {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Client {
+    /// A client without connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_LIMIT));
+        connector.set_nodelay(true);
+        let inner = HyperClient::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_LIMIT)
+            // A request goes out once; whether to repeat it is decided above.
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { inner }
+    }
+
+    /// Sends `request` and returns the reply's head; the body may still be on its way.
+    ///
+    /// # Errors
+    /// [`ClientError`]; only [`ClientError::Connect`] says that nothing was sent.
+    pub async fn send(
+        &self,
+        request: Request<Full<Bytes>>,
+        limit: Duration,
+    ) -> Result<Response<Incoming>, ClientError> {
+        match timeout(limit, self.inner.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(ClientError::Connect(describe(&error))),
+            Ok(Err(error)) => Err(ClientError::Broken(describe(&error))),
+            Err(_) => Err(ClientError::Timeout(limit)),
+        }
+    }
+
+    /// Sends a request with a JSON body and reads the whole reply.
+    ///
+    /// # Errors
+    /// As [`Client::send`].
+    pub async fn call<T>(
+        &self,
+        method: Method,
+        url: &str,
+        body: Option<&T>,
+        limit: Duration,
+    ) -> Result<Reply, ClientError>
+    where
+        T: Serialize,
+    {
+        let bytes = match body {
+            Some(value) => serde_json::to_vec(value)
+                .map_err(|error| ClientError::Request(error.to_string()))?,
+            None => Vec::new(),
+        };
+        let request = Request::builder()
+            .method(method)
+            .uri(url)
+            .header("content-type", "application/json")
+            .body(Full::from(bytes))
+            .map_err(|error| ClientError::Request(error.to_string()))?;
+        let exchange = async {
+            let response = self.send(request, limit).await?;
+            let status = response.status().as_u16();
+            let collected = response.into_body().collect().await;
+            let body = collected.map_err(|error| ClientError::Broken(error.to_string()))?;
+            Ok(Reply {
+                status,
+                body: body.to_bytes(),
+            })
+        };
+        timeout(limit, exchange)
+            .await
+            .unwrap_or(Err(ClientError::Timeout(limit)))
+    }
+
+    /// Reads `url`.
+    ///
+    /// # Errors
+    /// As [`Client::send`].
+    pub async fn get(&self, url: &str, limit: Duration) -> Result<Reply, ClientError> {
+        self.call::<()>(Method::GET, url, None, limit).await
+    }
+}
+
+/// The error with its causes, which hyper's own text leaves out.
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text.push_str(": ");
+        text.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    text
+}
--- /dev/null
+++ b/crates/bw-http/src/lib.rs
@@ -0,0 +1,15 @@
+//! The HTTP side of each process: a server that drains, bodies with limits, and a client.
+
+pub mod body;
+pub mod client;
+pub mod reply;
+pub mod server;
+
+pub use body::read_body;
+pub use body::BodyError;
+pub use client::Client;
+pub use client::ClientError;
+pub use reply::json_reply;
+pub use reply::text_reply;
+pub use server::bind;
+pub use server::serve;
--- /dev/null
+++ b/crates/bw-kernel/src/kernel.rs
@@ -0,0 +1,150 @@
+//! Starts services in order and stops them in the opposite order.
+
+use std::future::Future;
+use std::time::Duration;
+
+use log::info;
+use log::warn;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+use crate::error::KernelError;
+use crate::registry::Registry;
+
+/// Tells a service when to stop.
+#[derive(Clone, Debug)]
+pub struct Stop {
+    signal: watch::Receiver<bool>,
+}
+
+impl Stop {
+    /// Returns once the service has to stop.
+    pub async fn wait(&mut self) {
+        // An error means that the kernel is gone, which also means stop.
+        let _ = self.signal.wait_for(|stop| *stop).await;
+    }
+
+    /// True once the service has to stop.
+    pub fn is_set(&self) -> bool {
+        *self.signal.borrow()
+    }
+
+    /// A stop signal with its trigger, for tests and embedders.
+    pub fn pair() -> (watch::Sender<bool>, Stop) {
+        let (sender, signal) = watch::channel(false);
+        (sender, Stop { signal })
+    }
+}
+
+/// One started service.
+struct Running {
+    name: String,
+    stop: watch::Sender<bool>,
+    task: JoinHandle<Result<(), String>>,
+}
+
+/// The services of one process.
+#[derive(Default)]
+pub struct Kernel {
+    /// Handles by service name.
+    pub registry: Registry,
+    running: Vec<Running>,
+}
+
+impl Kernel {
+    /// A kernel without services.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Starts a service; services that start later stop earlier.
+    pub fn start<S, F, E>(&mut self, name: &str, service: S)
+    where
+        S: FnOnce(Stop) -> F,
+        F: Future<Output = Result<(), E>> + Send + 'static,
+        E: std::fmt::Display,
+    {
+        let (stop, signal) = Stop::pair();
+        let future = service(signal);
+        let task = tokio::spawn(async move { future.await.map_err(|error| error.to_string()) });
+        info!("event=service_started service={name}");
+        self.running.push(Running {
+            name: name.to_string(),
+            stop,
+            task,
+        });
+    }
+
+    /// Runs until SIGTERM, SIGINT or the failure of a service, then stops all in reverse order.
+    ///
+    /// Each service gets at most `grace` to finish what is in flight.
+    ///
+    /// # Errors
+    /// The first service error.
+    pub async fn run(mut self, grace: Duration) -> Result<(), KernelError> {
+        let failed = self.wait_end().await?;
+        let mut first = failed;
+        while let Some(service) = self.running.pop() {
+            if let Some(error) = stop_service(service, grace).await {
+                first.get_or_insert(error);
+            }
+        }
+        first.map_or(Ok(()), Err)
+    }
+
+    async fn wait_end(&mut self) -> Result<Option<KernelError>, KernelError> {
+        use tokio::signal::unix::signal;
+        use tokio::signal::unix::SignalKind;
+
+        let mut term = signal(SignalKind::terminate()).map_err(KernelError::Signal)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(KernelError::Signal)?;
+        let mut poll = tokio::time::interval(Duration::from_millis(200));
+        loop {
+            tokio::select! {
+                _ = term.recv() => break,
+                _ = interrupt.recv() => break,
+                _ = poll.tick() => {
+                    let ended = self.running.iter().position(|service| service.task.is_finished());
+                    if let Some(index) = ended {
+                        return Ok(join_service(self.running.remove(index)).await);
+                    }
+                }
+            }
+        }
+        info!("event=stopping reason=signal");
+        Ok(None)
+    }
+}
+
+async fn stop_service(service: Running, grace: Duration) -> Option<KernelError> {
+    let name = service.name.clone();
+    let abort = service.task.abort_handle();
+    let _ = service.stop.send(true);
+    match timeout(grace, join_service(service)).await {
+        Ok(error) => {
+            info!("event=service_stopped service={name}");
+            error
+        }
+        Err(_) => {
+            warn!(
+                "event=service_aborted service={name} grace_ms={}",
+                grace.as_millis()
+            );
+            abort.abort();
+            None
+        }
+    }
+}
+
+async fn join_service(service: Running) -> Option<KernelError> {
+    let name = service.name;
+    match service.task.await {
+        Ok(Ok(())) => None,
+        Ok(Err(reason)) => Some(KernelError::Service { name, reason }),
+        Err(error) => Some(KernelError::Service {
+            name,
+            reason: error.to_string(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/bw-kernel/src/lib.rs
@@ -0,0 +1,15 @@
+//! The micro-kernel of each process: services found by name, their life cycle, metrics, logging.
+
+pub mod error;
+pub mod kernel;
+pub mod logging;
+pub mod metrics;
+pub mod registry;
+pub mod time;
+
+pub use error::KernelError;
+pub use kernel::Kernel;
+pub use kernel::Stop;
+pub use metrics::Metrics;
+pub use registry::Registry;
+pub use time::unix_millis;
--- /dev/null
+++ b/crates/bw-link/src/pool.rs
@@ -0,0 +1,87 @@
+//! Links to many processes, opened on first use and discarded when silent.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use log::info;
+
+use crate::client::Client;
+use crate::error::LinkError;
+
+/// Clients by address.
+#[derive(Clone, Default)]
+pub struct Pool {
+    clients: Arc<Mutex<HashMap<SocketAddr, Arc<Client>>>>,
+}
+
+impl Pool {
+    /// A pool without links.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Calls the process at `address`. A link that times out is discarded.
+    ///
+    /// # Errors
+    /// As [`Client::call`].
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        request: &[u8],
+        limit: Duration,
+    ) -> Result<Vec<u8>, LinkError> {
+        let client = self.client(address)?;
+        let reply = client.call(request, limit).await;
+        if let Err(error) = &reply {
+            self.discard(address, &client, error);
+        }
+        reply
+    }
+
+    /// Closes the links to addresses that `keep` turns down.
+    pub fn retain<F>(&self, keep: F)
+    where
+        F: Fn(&SocketAddr) -> bool,
+    {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        clients.retain(|address, _| keep(address));
+    }
+
+    /// Number of open links.
+    pub fn len(&self) -> usize {
+        self.clients
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .len()
+    }
+
+    /// True when no link is open.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn client(&self, address: SocketAddr) -> Result<Arc<Client>, LinkError> {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(client) = clients.get(&address) {
+            return Ok(client.clone());
+        }
+        let client = Arc::new(Client::connect(address)?);
+        clients.insert(address, client.clone());
+        Ok(client)
+    }
+
+    fn discard(&self, address: SocketAddr, failed: &Arc<Client>, error: &LinkError) {
+        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
+        if clients
+            .get(&address)
+            .is_some_and(|client| Arc::ptr_eq(client, failed))
+        {
+            clients.remove(&address);
+            info!("event=link_discarded peer={address} reason=\"{error}\"");
+        }
+    }
+}
--- /dev/null
+++ b/crates/bw-link/tests/link.rs
@@ -0,0 +1,74 @@
+//! Calls over loopback: replies, silence, and reopening.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bw_link::serve;
+use bw_link::Handler;
+use bw_link::LinkError;
+use bw_link::Pool;
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[allow(clippy::unwrap_used)]
+fn free_address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Echoes a request; one that says `wait` is never answered.
+#[derive(Clone)]
+struct Echo;
+
+impl Handler for Echo {
+    async fn handle(&self, request: Vec<u8>) -> Vec<u8> {
+        if request == b"wait" {
+            std::future::pending::<()>().await;
+        }
+        request
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn concurrent_calls_get_their_own_replies() {
+    let address = free_address();
+    let listener = serve(address, Echo).unwrap();
+    let pool = Pool::new();
+    let calls = (0..300u32).map(|number| {
+        let pool = pool.clone();
+        async move {
+            let text = format!("request {number}");
+            let reply = pool.call(address, text.as_bytes(), LIMIT).await.unwrap();
+            assert_eq!(reply, text.as_bytes());
+        }
+    });
+    futures::future::join_all(calls).await;
+    drop(listener);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn long_polls_do_not_block_other_calls() {
+    let address = free_address();
+    let listener = serve(address, Echo).unwrap();
+    let pool = Pool::new();
+    for _ in 0..100 {
+        let pool = pool.clone();
+        tokio::spawn(async move { pool.call(address, b"wait", LIMIT).await });
+    }
+    let reply = pool.call(address, b"next", LIMIT).await.unwrap();
+    assert_eq!(reply, b"next");
+    drop(listener);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_silent_link_is_discarded_and_a_new_one_works() {
+    let address = free_address();
+    let listener = serve(address, Echo).unwrap();
+    let pool = Pool::new();
+    let silent = pool.call(address, b"wait", Duration::from_millis(50)).await;
+    assert_eq!(silent, Err(LinkError::Timeout(address)));
+    assert!(pool.is_empty());
+    let reply = pool.call(address, b"again", LIMIT).await.unwrap();
+    assert_eq!(reply, b"again");
+    drop(listener);
+}
--- /dev/null
+++ b/crates/bw-model/src/ids.rs
@@ -0,0 +1,146 @@
+//! Identifiers that travel between processes.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Deserializer;
+use serde::Serialize;
+use serde::Serializer;
+
+/// Identifies one dispatch of one request; every answer carries it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct AttemptId(pub u128);
+
+/// Identifies one life of a process; a restart takes a new one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Incarnation(pub u64);
+
+/// Fencing number of a lease; each new holder has a higher one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Fence(pub u64);
+
+/// Version of the accepted configuration.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Version(pub u64);
+
+/// Version of a group's expert map.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct MapVersion(pub u64);
+
+/// Hash of an idempotency key within its workspace and service.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct KeyHash(pub u128);
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "AttemptId({:x})", self.0)
+    }
+}
+
+impl fmt::Display for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for KeyHash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "KeyHash({:x})", self.0)
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl fmt::Display for Fence {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl fmt::Display for MapVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// Writes a 128-bit id as hexadecimal digits in text formats and as a number in binary ones.
+fn serialize_wide<S>(value: u128, serializer: S) -> Result<S::Ok, S::Error>
+where
+    S: Serializer,
+{
+    if serializer.is_human_readable() {
+        serializer.serialize_str(&format!("{value:032x}"))
+    } else {
+        serializer.serialize_u128(value)
+    }
+}
+
+fn deserialize_wide<'de, D>(deserializer: D) -> Result<u128, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    if deserializer.is_human_readable() {
+        let text = String::deserialize(deserializer)?;
+        u128::from_str_radix(&text, 16).map_err(serde::de::Error::custom)
+    } else {
+        u128::deserialize(deserializer)
+    }
+}
+
+impl Serialize for AttemptId {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serialize_wide(self.0, serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for AttemptId {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserialize_wide(deserializer).map(Self)
+    }
+}
+
+impl Serialize for KeyHash {
+    fn serialize<S>(&self, serializer: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        serialize_wide(self.0, serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for KeyHash {
+    fn deserialize<D>(deserializer: D) -> Result<Self, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        deserialize_wide(deserializer).map(Self)
+    }
+}
--- /dev/null
+++ b/crates/bw-model/src/lib.rs
@@ -0,0 +1,21 @@
+//! Checked types that every layer shares: names, identifiers, arenas and the fleet.
+//!
+//! Values of these types are valid by construction; `TryFrom` turns raw input into them.
+
+pub mod arena;
+pub mod fleet;
+pub mod hash;
+pub mod ids;
+pub mod name;
+
+pub use arena::Arena;
+pub use arena::Key;
+pub use fleet::Fleet;
+pub use ids::AttemptId;
+pub use ids::Fence;
+pub use ids::Incarnation;
+pub use ids::KeyHash;
+pub use ids::MapVersion;
+pub use ids::Version;
+pub use name::Name;
+pub use name::NameError;
--- /dev/null
+++ b/crates/bw-route/src/lib.rs
@@ -0,0 +1,17 @@
+//! Routing, admission, fairness, ejection and retry budgets, without I/O.
+//!
+//! Times are spans since the process started, taken from the runtime's clock.
+
+pub mod admission;
+pub mod budget;
+pub mod eject;
+pub mod load;
+pub mod prefix;
+pub mod router;
+
+pub use admission::Admission;
+pub use admission::Offer;
+pub use budget::RetryBudget;
+pub use router::Choice;
+pub use router::Query;
+pub use router::Router;
