--- a/crates/bw-agent/src/attempts.rs
+++ b/crates/bw-agent/src/attempts.rs
@@ -73,15 +73,8 @@
     /// A new life that takes nothing until [`Attempts::set_slots`].
     pub fn new(incarnation: Incarnation, retention: Duration) -> Self {
         let gate = Gate::new(incarnation, 0);
-        let state = State {
-            gate,
-            attempts: HashMap::new(),
-            barred: Vec::new(),
-        };
-        Self {
-            state: Arc::new(Mutex::new(state)),
-            retention,
-        }
+        let state = State { gate, attempts: HashMap::new(), barred: Vec::new() };
+        Self { state: Arc::new(Mutex::new(state)), retention }
     }
 
     /// This life of the agent.
@@ -250,10 +243,7 @@
     /// Fingerprints of the attempts that run.
     pub fn running_fingerprints(&self) -> Vec<u64> {
         let state = self.lock();
-        let running = state
-            .attempts
-            .values()
-            .filter(|attempt| attempt.ended.is_none());
+        let running = state.attempts.values().filter(|attempt| attempt.ended.is_none());
         let mut fingerprints: Vec<u64> = running.map(|attempt| attempt.fingerprint).collect();
         fingerprints.sort_unstable();
         fingerprints.dedup();
@@ -270,11 +260,7 @@
             if unread && !attempt.once {
                 attempt.cancelled.send_replace(true);
             }
-            let kept = if attempt.once {
-                retention
-            } else {
-                ABANDONED_AFTER
-            };
+            let kept = if attempt.once { retention } else { ABANDONED_AFTER };
             let over = attempt.ended.is_some_and(|ended| ended.elapsed() >= kept);
             if over {
                 forgotten.push(*id);
--- a/crates/bw-agent/src/beat.rs
+++ b/crates/bw-agent/src/beat.rs
@@ -63,10 +63,7 @@
 impl Crashes {
     /// Adds a crash, which is told at once.
     pub fn add(&self, crash: Crash) {
-        self.waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(crash);
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).push(crash);
         self.news.notify_one();
     }
 
@@ -85,10 +82,7 @@
     }
 
     fn put_back(&self, crashes: Vec<Crash>) {
-        self.waiting
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .extend(crashes);
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).extend(crashes);
     }
 }
 
@@ -100,9 +94,15 @@
     pub async fn run(self, mut stop: Stop) -> Result<(), Infallible> {
         let mut seq = 0;
         let mut lonely = 0;
+        let mut told = self.viewer.version();
         loop {
             seq += 1;
             let answered = self.beat_once(seq).await;
+            if self.viewer.version() > told {
+                // Says at once that the new version is in force here.
+                told = self.viewer.version();
+                continue;
+            }
             lonely = if answered { 0 } else { lonely + 1 };
             if lonely > 0 && lonely % LONELY_BEATS == 0 {
                 warn!("event=no_entry_answers heartbeats={lonely}");
--- a/crates/bw-agent/src/engine.rs
+++ b/crates/bw-agent/src/engine.rs
@@ -31,10 +31,7 @@
 impl Engine {
     /// The engine at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self {
-            client: Client::new(),
-            base: format!("http://{address}"),
-        }
+        Self { client: Client::new(), base: format!("http://{address}") }
     }
 
     /// The rank's state.
@@ -71,10 +68,7 @@
             _ => ORDER_LIMIT,
         };
         let url = format!("{}/experts/order", self.base);
-        let reply = self
-            .client
-            .call(Method::POST, &url, Some(order), limit)
-            .await?;
+        let reply = self.client.call(Method::POST, &url, Some(order), limit).await?;
         parse::<OrderReply>(reply.status, &reply.body).map(|reply| reply.taken)
     }
 
@@ -82,10 +76,7 @@
     where
         T: DeserializeOwned,
     {
-        let reply = self
-            .client
-            .get(&format!("{}{path}", self.base), STATE_LIMIT)
-            .await?;
+        let reply = self.client.get(&format!("{}{path}", self.base), STATE_LIMIT).await?;
         parse(reply.status, &reply.body)
     }
 }
--- a/crates/bw-agent/src/experts.rs
+++ b/crates/bw-agent/src/experts.rs
@@ -74,14 +74,7 @@
         view: CurrentView,
     ) -> Self {
         let state = Arc::new(Mutex::new(State::default()));
-        Self {
-            incarnation,
-            pool,
-            store,
-            margin,
-            view,
-            state,
-        }
+        Self { incarnation, pool, store, margin, view, state }
     }
 
     /// Resends, proposes and asks for verdicts until `stop`.
@@ -141,10 +134,7 @@
         match coordinator.prepare(order.map) {
             Some(version) => {
                 state.ticks = 0;
-                info!(
-                    "event=switch_begun endpoint={} map={version}",
-                    view.endpoint
-                );
+                info!("event=switch_begun endpoint={} map={version}", view.endpoint);
                 OrderReply::Begun(version)
             }
             None => OrderReply::Busy,
@@ -164,12 +154,7 @@
         let (map, state) = tokio::join!(engine.map(), engine.state());
         let demand = engine.demand().await.unwrap_or_default();
         let step = state.map_or(0, |state| state.step);
-        GroupReport {
-            map: map.ok().flatten(),
-            step,
-            busy,
-            demand,
-        }
+        GroupReport { map: map.ok().flatten(), step, busy, demand }
     }
 
     /// Map version in force at this rank.
@@ -195,11 +180,7 @@
         let name = format!("plan-{}", view.endpoint);
         if let Ok(object) = store.get(Purpose::Read, "leases", &name).await {
             let lease = object.and_then(|object| object.content::<Lease>().ok());
-            self.state
-                .lock()
-                .await
-                .fence
-                .learn(lease.unwrap_or_default().fence);
+            self.state.lock().await.fence.learn(lease.unwrap_or_default().fence);
         }
     }
 
@@ -208,12 +189,16 @@
             self.coordinate(view).await?;
         }
         let engine_state = Engine::new(view.backend).state().await?;
-        let question = {
+        let (unlearned, blocked) = {
             let mut state = self.state.lock().await;
-            self.rank_of(&mut state, view).blocked(&engine_state)
+            let rank = self.rank_of(&mut state, view);
+            (rank.question(), rank.blocked(&engine_state))
         };
-        if let Some(question) = question {
-            self.ask_verdict(view, question).await;
+        if let Some(question) = unlearned {
+            self.ask_ranks(view, question).await;
+        }
+        if let Some(question) = blocked {
+            self.ask_ranks(view, question).await;
         }
         Ok(())
     }
@@ -227,15 +212,13 @@
             let ranks = view.ranks.len();
             let coordinator = state
                 .coordinator
-                .get_or_insert_with(|| Coordinator::new(ranks, rand::random()));
+                .get_or_insert_with(|| Coordinator::new(ranks, step, rand::random()));
             let mut outbox = coordinator.propose(step + self.margin);
             if outbox.is_empty() {
                 outbox = coordinator.resend();
             }
-            let undecided = matches!(
-                coordinator.phase(),
-                Phase::Preparing { .. } | Phase::Proposing { .. }
-            );
+            let undecided =
+                matches!(coordinator.phase(), Phase::Preparing { .. } | Phase::Proposing { .. });
             if undecided && ticks > PATIENCE_TICKS {
                 warn!("event=switch_given_up endpoint={}", view.endpoint);
                 outbox = coordinator.give_up();
@@ -340,8 +323,8 @@
         }
     }
 
-    /// Asks the coordinator, then the other ranks, for the verdict on the held step.
-    async fn ask_verdict(&self, view: &AgentView, question: Message) {
+    /// Asks the coordinator, then the other ranks, until one has an answer.
+    async fn ask_ranks(&self, view: &AgentView, question: Message) {
         let others = (0..view.ranks.len() as u32).filter(|rank| *rank != view.rank);
         for rank in others {
             let replies = self.send(view, rank, question.clone()).await;
@@ -364,9 +347,7 @@
     }
 
     fn rank_of<'a>(&self, state: &'a mut State, view: &AgentView) -> &'a mut Rank {
-        state
-            .rank
-            .get_or_insert_with(|| Rank::new(view.rank, self.incarnation))
+        state.rank.get_or_insert_with(|| Rank::new(view.rank, self.incarnation))
     }
 }
 
--- a/crates/bw-agent/src/link.rs
+++ b/crates/bw-agent/src/link.rs
@@ -56,27 +56,16 @@
     async fn answer(&self, request: AgentRequest) -> AgentReply {
         match request {
             AgentRequest::Dispatch(dispatch) => self.dispatch(dispatch),
-            AgentRequest::Read {
-                attempt,
-                incarnation,
-                offset,
-                head,
-                wait,
-            } => {
+            AgentRequest::Read { attempt, incarnation, offset, head, wait } => {
                 let wait = Duration::from_millis(wait).min(WAIT_MAX);
-                match self
-                    .attempts
-                    .read(attempt, incarnation, offset, head, wait)
-                    .await
-                {
+                match self.attempts.read(attempt, incarnation, offset, head, wait).await {
                     ReadResult::Chunk(chunk) => AgentReply::Chunk(chunk),
                     ReadResult::Lost(standing) => AgentReply::Lost(standing),
                 }
             }
-            AgentRequest::Ask {
-                attempt,
-                incarnation,
-            } => AgentReply::Standing(self.attempts.ask(attempt, incarnation)),
+            AgentRequest::Ask { attempt, incarnation } => {
+                AgentReply::Standing(self.attempts.ask(attempt, incarnation))
+            }
             AgentRequest::Release(attempt) => {
                 self.attempts.release(attempt);
                 AgentReply::Done
@@ -96,8 +85,7 @@
             suspect: dispatch.suspect,
         };
         let (mut verdict, running, cancelled) =
-            self.attempts
-                .dispatch(gate, dispatch.fingerprint, dispatch.once);
+            self.attempts.dispatch(gate, dispatch.fingerprint, dispatch.once);
         log_verdict(&dispatch, verdict, running);
         if let (Some(view), Some(cancelled)) = (view, cancelled) {
             if self.runner.is_dead() {
--- a/crates/bw-agent/src/main.rs
+++ b/crates/bw-agent/src/main.rs
@@ -81,11 +81,7 @@
     let instance = settings.instance.to_string();
     let incarnation = new_incarnation();
     let store = match &settings.platform {
-        Some(url) => Some(Store::new(
-            url,
-            Budget::new(PLATFORM_RATE, PLATFORM_BURST),
-            &metrics,
-        )?),
+        Some(url) => Some(Store::new(url, Budget::new(PLATFORM_RATE, PLATFORM_BURST), &metrics)?),
         None => None,
     };
     let pool = Pool::new();
@@ -126,9 +122,7 @@
         crashes: crashes.clone(),
     };
     kernel.start("beat", |stop| beater.run(stop));
-    kernel.start("drain", |stop| {
-        bw_agent::drain::run(attempts, crashes, stop)
-    });
+    kernel.start("drain", |stop| bw_agent::drain::run(attempts, crashes, stop));
     kernel.run(settings.grace).await?;
     Ok(())
 }
--- a/crates/bw-agent/src/runner.rs
+++ b/crates/bw-agent/src/runner.rs
@@ -48,11 +48,7 @@
     pub fn note(&self, time: Duration) {
         let old = f64::from(self.millis.load(Ordering::Relaxed));
         let new = time.as_secs_f64() * 1_000.0;
-        let mean = if old == 0.0 {
-            new
-        } else {
-            old + (new - old) * TIME_WEIGHT
-        };
+        let mean = if old == 0.0 { new } else { old + (new - old) * TIME_WEIGHT };
         self.millis.store(mean.round() as u32, Ordering::Relaxed);
     }
 
@@ -149,17 +145,11 @@
     ) -> Result<(), Failure> {
         let request = build_request(dispatch, view).map_err(Failure::Unsent)?;
         let limit = deadline.saturating_duration_since(Instant::now());
-        let response = self
-            .client
-            .send(request, limit)
-            .await
-            .map_err(|error| match error {
-                ClientError::Connect(reason) | ClientError::Request(reason) => {
-                    Failure::Unsent(reason)
-                }
-                ClientError::Timeout(_) => Failure::Late,
-                other => Failure::Broken(other.to_string()),
-            })?;
+        let response = self.client.send(request, limit).await.map_err(|error| match error {
+            ClientError::Connect(reason) | ClientError::Request(reason) => Failure::Unsent(reason),
+            ClientError::Timeout(_) => Failure::Late,
+            other => Failure::Broken(other.to_string()),
+        })?;
         self.attempts.set_head(dispatch.attempt, head_of(&response));
         let mut body = response.into_body();
         loop {
@@ -200,21 +190,14 @@
         }
         let number = self.crash_number.fetch_add(1, Ordering::Relaxed) + 1;
         let fingerprints = self.attempts.running_fingerprints();
-        warn!(
-            "event=engine_died endpoint={} in_flight={}",
-            view.endpoint,
-            fingerprints.len()
-        );
+        warn!("event=engine_died endpoint={} in_flight={}", view.endpoint, fingerprints.len());
         self.crashes.add(Crash {
             endpoint: view.endpoint.clone(),
             incarnation: self.attempts.incarnation(),
             number,
             fingerprints,
         });
-        tokio::spawn(
-            self.clone()
-                .wait_alive(format!("http://{}/health", view.backend)),
-        );
+        tokio::spawn(self.clone().wait_alive(format!("http://{}/health", view.backend)));
         number
     }
 
@@ -250,28 +233,15 @@
         builder = builder.header(name, value);
     }
     builder = builder.header("x-request-id", &dispatch.request);
-    builder
-        .body(Full::from(call.body.clone()))
-        .map_err(|error| error.to_string())
+    builder.body(Full::from(call.body.clone())).map_err(|error| error.to_string())
 }
 
 fn head_of(response: &Response<Incoming>) -> Head {
-    const DROPPED: [&str; 5] = [
-        "connection",
-        "transfer-encoding",
-        "keep-alive",
-        "content-length",
-        "date",
-    ];
-    let kept = response
-        .headers()
-        .iter()
-        .filter(|(name, _)| !DROPPED.contains(&name.as_str()));
+    const DROPPED: [&str; 5] =
+        ["connection", "transfer-encoding", "keep-alive", "content-length", "date"];
+    let kept = response.headers().iter().filter(|(name, _)| !DROPPED.contains(&name.as_str()));
     let text = kept.filter_map(|(name, value)| {
         Some((name.as_str().to_string(), value.to_str().ok()?.to_string()))
     });
-    Head {
-        status: response.status().as_u16(),
-        headers: text.collect(),
-    }
+    Head { status: response.status().as_u16(), headers: text.collect() }
 }
--- a/crates/bw-agent/src/view.rs
+++ b/crates/bw-agent/src/view.rs
@@ -41,13 +41,7 @@
         attempts: Attempts,
         store: Option<ConfigStore>,
     ) -> Self {
-        Self {
-            instance,
-            pool,
-            attempts,
-            store,
-            current: watch::Sender::new(None),
-        }
+        Self { instance, pool, attempts, store, current: watch::Sender::new(None) }
     }
 
     /// The view in force, now and later.
@@ -62,16 +56,12 @@
 
     /// The version in force.
     pub fn version(&self) -> bw_model::Version {
-        self.current()
-            .map_or(bw_model::Version(0), |view| view.version)
+        self.current().map_or(bw_model::Version(0), |view| view.version)
     }
 
     /// Asks an entry for a newer view; true when the entry answered.
     pub async fn ask_entry(&self, entry: SocketAddr) -> bool {
-        let request = EntryRequest::View {
-            instance: self.instance.clone(),
-            have: self.version(),
-        };
+        let request = EntryRequest::View { instance: self.instance.clone(), have: self.version() };
         let Ok(bytes) = encode(&request) else {
             return false;
         };
@@ -93,10 +83,9 @@
     pub async fn ask_platform(&self) {
         let Some(store) = &self.store else { return };
         let document = match store.head().await {
-            Ok(read) if read.head.version > self.version() => store
-                .document(&read.head)
-                .await
-                .map(|document| (read.head.version, document)),
+            Ok(read) if read.head.version > self.version() => {
+                store.document(&read.head).await.map(|document| (read.head.version, document))
+            }
             Ok(_) => return,
             Err(error) => Err(error),
         };
@@ -104,9 +93,7 @@
             Ok((version, document)) => {
                 let file = document.to_file("accepted configuration");
                 let fleet = build_fleet(version, &[file]);
-                let view = fleet
-                    .ok()
-                    .and_then(|fleet| AgentView::of(&fleet, &self.instance));
+                let view = fleet.ok().and_then(|fleet| AgentView::of(&fleet, &self.instance));
                 if let Some(view) = view {
                     self.take(view);
                 }
--- a/crates/bw-conf/src/document.rs
+++ b/crates/bw-conf/src/document.rs
@@ -49,11 +49,7 @@
     pub fn from_files(files: &[IniFile]) -> Self {
         let mut sections = BTreeMap::new();
         for section in files.iter().flat_map(|file| &file.sections) {
-            let keys = section
-                .entries
-                .iter()
-                .map(|e| (e.key.clone(), e.value.clone()))
-                .collect();
+            let keys = section.entries.iter().map(|e| (e.key.clone(), e.value.clone())).collect();
             sections.insert(section.header(), keys);
         }
         Self { sections }
@@ -88,17 +84,9 @@
             .filter(|(header, keys)| self.sections.get(*header) != Some(keys))
             .map(|(header, keys)| (header.clone(), keys.clone()))
             .collect();
-        let removed = self
-            .sections
-            .keys()
-            .filter(|header| !next.sections.contains_key(*header))
-            .cloned();
-        Delta {
-            from,
-            to,
-            changed,
-            removed: removed.collect(),
-        }
+        let removed =
+            self.sections.keys().filter(|header| !next.sections.contains_key(*header)).cloned();
+        Delta { from, to, changed, removed: removed.collect() }
     }
 
     /// Applies a change that starts from this document's version.
@@ -132,15 +120,8 @@
 
     /// Size of the text, in bytes.
     pub fn bytes(&self) -> usize {
-        let keys = |keys: &Keys| {
-            keys.iter()
-                .map(|(k, v)| k.len() + v.len() + 4)
-                .sum::<usize>()
-        };
-        self.sections
-            .iter()
-            .map(|(header, k)| header.len() + 3 + keys(k))
-            .sum()
+        let keys = |keys: &Keys| keys.iter().map(|(k, v)| k.len() + v.len() + 4).sum::<usize>();
+        self.sections.iter().map(|(header, k)| header.len() + 3 + keys(k)).sum()
     }
 
     /// The document as INI text.
--- a/crates/bw-conf/src/fault.rs
+++ b/crates/bw-conf/src/fault.rs
@@ -107,11 +107,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Syntax { place, reason } => write!(f, "{place}: not INI: {reason}"),
-            Self::Size {
-                place,
-                bytes,
-                limit,
-            } => {
+            Self::Size { place, bytes, limit } => {
                 write!(f, "{place}: {bytes} bytes, at most {limit} are taken")
             }
             Self::Duplicate { place, what, first } => {
@@ -120,37 +116,16 @@
             Self::Kind { place, expected } => {
                 write!(f, "{place}: no such section; expected one of {expected}")
             }
-            Self::Unknown {
-                place,
-                key,
-                expected,
-            } => {
-                write!(
-                    f,
-                    "{place}: no such key {key:?}; expected one of {expected}"
-                )
+            Self::Unknown { place, key, expected } => {
+                write!(f, "{place}: no such key {key:?}; expected one of {expected}")
             }
-            Self::Missing {
-                place,
-                key,
-                expected,
-            } => {
+            Self::Missing { place, key, expected } => {
                 write!(f, "{place}: {key:?} is missing; expected {expected}")
             }
-            Self::Value {
-                place,
-                key,
-                value,
-                expected,
-            } => {
+            Self::Value { place, key, value, expected } => {
                 write!(f, "{place}: {key} = {value:?}; expected {expected}")
             }
-            Self::Reference {
-                place,
-                key,
-                value,
-                expected,
-            } => {
+            Self::Reference { place, key, value, expected } => {
                 write!(f, "{place}: {key} names {value:?}; expected {expected}")
             }
         }
--- a/crates/bw-conf/src/fleet.rs
+++ b/crates/bw-conf/src/fleet.rs
@@ -82,9 +82,7 @@
             builder.add(kind, raw);
         }
     }
-    let file = sections
-        .first()
-        .map_or("configuration", |raw| raw.file.as_str());
+    let file = sections.first().map_or("configuration", |raw| raw.file.as_str());
     builder.check_whole(file);
     builder.faults.check(builder.fleet)
 }
@@ -99,16 +97,9 @@
             pools: Arena::default(),
             endpoints: Arena::default(),
             workspaces: Arena::default(),
-            balance: Balance {
-                price: 1.0,
-                pause: 60.0,
-            },
+            balance: Balance { price: 1.0, pause: 60.0 },
         };
-        Self {
-            fleet,
-            names: Names::default(),
-            faults: Faults::default(),
-        }
+        Self { fleet, names: Names::default(), faults: Faults::default() }
     }
 
     fn check_headers(&mut self, sections: &[&RawSection]) {
@@ -116,10 +107,7 @@
         for raw in sections {
             if !KINDS.contains(&raw.kind.as_str()) {
                 let place = raw.place(raw.line);
-                self.faults.push(Fault::Kind {
-                    place,
-                    expected: KINDS.join(", "),
-                });
+                self.faults.push(Fault::Kind { place, expected: KINDS.join(", ") });
             }
             if let Some(first) = seen.insert(raw.header(), raw) {
                 self.faults.push(Fault::Duplicate {
@@ -173,10 +161,7 @@
         let name = self.section_name(section);
         let region = section.required("region", NAME, &mut self.faults);
         if let (Some(name), Some(region)) = (name, region) {
-            let key = self.fleet.centres.push(Centre {
-                name: name.clone(),
-                region,
-            });
+            let key = self.fleet.centres.push(Centre { name: name.clone(), region });
             self.names.centres.insert(name.into(), key);
         }
     }
@@ -206,12 +191,7 @@
         let link = self.link(section);
         let http = section.required("http", ADDRESS, &mut self.faults);
         if let (Some(name), Some(centre), Some(link), Some(http)) = (name, centre, link, http) {
-            self.push_instance(Instance {
-                name,
-                centre,
-                link,
-                role: Role::Entry { http },
-            });
+            self.push_instance(Instance { name, centre, link, role: Role::Entry { http } });
         }
     }
 
@@ -222,12 +202,7 @@
         let backend = section.required("backend", ADDRESS, &mut self.faults);
         if let (Some(name), Some(centre), Some(link), Some(backend)) = (name, centre, link, backend)
         {
-            self.push_instance(Instance {
-                name,
-                centre,
-                link,
-                role: Role::Agent { backend },
-            });
+            self.push_instance(Instance { name, centre, link, role: Role::Agent { backend } });
         }
     }
 
@@ -242,12 +217,7 @@
         if let Some(key) = self.names.pools.get(&id) {
             return *key;
         }
-        let key = self.fleet.pools.push(Pool {
-            name,
-            kind,
-            once,
-            endpoints: Vec::new(),
-        });
+        let key = self.fleet.pools.push(Pool { name, kind, once, endpoints: Vec::new() });
         self.names.pools.insert(id, key);
         key
     }
@@ -272,11 +242,7 @@
         if names.is_empty() || names.len() > RANKS_MAX {
             let place = section.raw().place(section.raw().line);
             let expected = format!("1 to {RANKS_MAX} instances, separated by commas");
-            self.faults.push(Fault::Missing {
-                place,
-                key: key.to_string(),
-                expected,
-            });
+            self.faults.push(Fault::Missing { place, key: key.to_string(), expected });
         }
         keys
     }
@@ -332,18 +298,7 @@
             let shape = Some(shape);
             let ranks = ranks.into_iter().collect();
             let only = Vec::new();
-            self.push_endpoint(
-                section,
-                Endpoint {
-                    name,
-                    pool,
-                    ranks,
-                    slots,
-                    shape,
-                    fenced,
-                    only,
-                },
-            );
+            self.push_endpoint(section, Endpoint { name, pool, ranks, slots, shape, fenced, only });
         }
     }
 
@@ -360,18 +315,7 @@
             let ranks = std::iter::once(instance).collect();
             let only = Vec::new();
             let shape = None;
-            self.push_endpoint(
-                section,
-                Endpoint {
-                    name,
-                    pool,
-                    ranks,
-                    slots,
-                    shape,
-                    fenced,
-                    only,
-                },
-            );
+            self.push_endpoint(section, Endpoint { name, pool, ranks, slots, shape, fenced, only });
         }
     }
 
@@ -379,14 +323,10 @@
         const EXPECTED: &str = "a method and a path, such as POST /orders";
         let mut rules = Vec::new();
         for text in section.list("not-repeatable") {
-            let rule = text
-                .split_once(' ')
-                .map(|(method, path)| (method.trim(), path.trim()));
+            let rule = text.split_once(' ').map(|(method, path)| (method.trim(), path.trim()));
             match rule {
-                Some((method, path)) if path.starts_with('/') => rules.push(CallRule {
-                    method: method.to_ascii_uppercase(),
-                    path: path.to_string(),
-                }),
+                Some((method, path)) if path.starts_with('/') => rules
+                    .push(CallRule { method: method.to_ascii_uppercase(), path: path.to_string() }),
                 _ => section.fault_reference("not-repeatable", &text, EXPECTED, &mut self.faults),
             }
         }
@@ -405,22 +345,14 @@
         let token = token.filter(|token| self.check_token(section, token));
         if let (Some(name), Some(token)) = (name, token) {
             let text = name.to_string();
-            let key = self.fleet.workspaces.push(Workspace {
-                name,
-                token,
-                order,
-                share,
-                pools,
-            });
+            let key = self.fleet.workspaces.push(Workspace { name, token, order, share, pools });
             self.names.workspaces.insert(text, key);
         }
     }
 
     fn check_token(&mut self, section: &Section<'_>, token: &str) -> bool {
         let digits = token.len() == TOKEN_DIGITS
-            && token
-                .bytes()
-                .all(|byte| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte));
+            && token.bytes().all(|byte| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte));
         let taken = self.fleet.workspace(token).is_some();
         if !digits {
             let expected = "64 hexadecimal digits; see bwctl token";
@@ -470,11 +402,7 @@
             let place = section.raw().place(section.raw().line);
             let key = "endpoints and workspaces".to_string();
             let expected = "at least one name in each".to_string();
-            self.faults.push(Fault::Missing {
-                place,
-                key,
-                expected,
-            });
+            self.faults.push(Fault::Missing { place, key, expected });
         }
         for name in endpoints {
             match self.names.endpoints.get(&name) {
@@ -502,10 +430,7 @@
             missing.push(("entry".to_string(), "at least one [entry] section"));
         }
         if self.fleet.endpoints.is_empty() {
-            missing.push((
-                "group".to_string(),
-                "at least one [group] or [service] section",
-            ));
+            missing.push(("group".to_string(), "at least one [group] or [service] section"));
         }
         for (key, workspace) in self.fleet.workspaces.iter() {
             for pool in &workspace.pools {
@@ -521,11 +446,7 @@
         }
         for (key, expected) in missing {
             let place = whole_file(file);
-            self.faults.push(Fault::Missing {
-                place,
-                key,
-                expected: expected.to_string(),
-            });
+            self.faults.push(Fault::Missing { place, key, expected: expected.to_string() });
         }
     }
 }
--- a/crates/bw-conf/src/reader.rs
+++ b/crates/bw-conf/src/reader.rs
@@ -50,11 +50,7 @@
 
     /// The place of a line in this section.
     pub fn place(&self, line: u32) -> Place {
-        Place {
-            file: self.file.clone(),
-            line,
-            section: self.header(),
-        }
+        Place { file: self.file.clone(), line, section: self.header() }
     }
 }
 
@@ -81,18 +77,11 @@
         let mut faults = Faults::default();
         if text.len() > FILE_BYTES_MAX {
             let place = whole_file(file);
-            faults.push(Fault::Size {
-                place,
-                bytes: text.len(),
-                limit: FILE_BYTES_MAX,
-            });
+            faults.push(Fault::Size { place, bytes: text.len(), limit: FILE_BYTES_MAX });
             return Err(faults);
         }
         let index = LineIndex::build(file, text, &mut faults);
-        let option = ParseOption {
-            enabled_escape: false,
-            ..ParseOption::default()
-        };
+        let option = ParseOption { enabled_escape: false, ..ParseOption::default() };
         let ini = match Ini::load_from_str_opt(text, option) {
             Ok(ini) => ini,
             Err(error) => {
@@ -101,10 +90,7 @@
                     line: error.line as u32,
                     section: String::new(),
                 };
-                faults.push(Fault::Syntax {
-                    place,
-                    reason: error.msg.to_string(),
-                });
+                faults.push(Fault::Syntax { place, reason: error.msg.to_string() });
                 return Err(faults);
             }
         };
@@ -114,9 +100,7 @@
             if header.is_empty() && properties.is_empty() {
                 continue;
             }
-            let (kind, name) = header
-                .split_once(char::is_whitespace)
-                .unwrap_or((header, ""));
+            let (kind, name) = header.split_once(char::is_whitespace).unwrap_or((header, ""));
             let entries = properties
                 .iter()
                 .map(|(key, value)| Entry {
@@ -146,11 +130,7 @@
             Err(error) => {
                 let before = &bytes[..error.valid_up_to()];
                 let line = before.iter().filter(|byte| **byte == b'\n').count() as u32 + 1;
-                let place = Place {
-                    file: file.to_string(),
-                    line,
-                    section: String::new(),
-                };
+                let place = Place { file: file.to_string(), line, section: String::new() };
                 let reason = "the text is not UTF-8".to_string();
                 Err(Faults(vec![Fault::Syntax { place, reason }]))
             }
@@ -168,15 +148,8 @@
             if line.starts_with('#') || line.starts_with(';') {
                 continue;
             }
-            let place = Place {
-                file: file.to_string(),
-                line: number,
-                section: section.clone(),
-            };
-            if let Some(header) = line
-                .strip_prefix('[')
-                .and_then(|rest| rest.split(']').next())
-            {
+            let place = Place { file: file.to_string(), line: number, section: section.clone() };
+            if let Some(header) = line.strip_prefix('[').and_then(|rest| rest.split(']').next()) {
                 section = header.trim().to_string();
                 if let Some(first) = index.headers.insert(section.clone(), number) {
                     let what = format!("section [{section}]");
@@ -194,18 +167,11 @@
     }
 
     fn key_line(&self, section: &str, key: &str) -> u32 {
-        self.keys
-            .get(&(section.to_string(), key.to_string()))
-            .copied()
-            .unwrap_or(0)
+        self.keys.get(&(section.to_string(), key.to_string())).copied().unwrap_or(0)
     }
 }
 
 /// The place of a fault that concerns a whole file.
 pub fn whole_file(file: &str) -> Place {
-    Place {
-        file: file.to_string(),
-        line: 0,
-        section: String::new(),
-    }
+    Place { file: file.to_string(), line: 0, section: String::new() }
 }
--- a/crates/bw-conf/src/settings.rs
+++ b/crates/bw-conf/src/settings.rs
@@ -20,10 +20,7 @@
 impl<'a> Section<'a> {
     /// Starts reading `raw`.
     pub fn new(raw: &'a RawSection) -> Self {
-        Self {
-            raw,
-            known: Vec::new(),
-        }
+        Self { raw, known: Vec::new() }
     }
 
     /// The section itself.
@@ -53,11 +50,7 @@
             None => {
                 let place = self.raw.place(self.raw.line);
                 let expected = expected.to_string();
-                faults.push(Fault::Missing {
-                    place,
-                    key: key.to_string(),
-                    expected,
-                });
+                faults.push(Fault::Missing { place, key: key.to_string(), expected });
                 None
             }
         }
@@ -124,10 +117,7 @@
             return Vec::new();
         };
         let parts = entry.value.split(',').map(str::trim);
-        parts
-            .filter(|part| !part.is_empty())
-            .map(str::to_string)
-            .collect()
+        parts.filter(|part| !part.is_empty()).map(str::to_string).collect()
     }
 
     /// Reports keys that nothing asked for.
@@ -136,11 +126,7 @@
             if !self.known.contains(&entry.key.as_str()) {
                 let place = self.raw.place(entry.line);
                 let expected = self.known.join(", ");
-                faults.push(Fault::Unknown {
-                    place,
-                    key: entry.key.clone(),
-                    expected,
-                });
+                faults.push(Fault::Unknown { place, key: entry.key.clone(), expected });
             }
         }
     }
@@ -157,12 +143,7 @@
 
     /// Reports that `value` under `key` names nothing.
     pub fn fault_reference(&self, key: &str, value: &str, expected: &str, faults: &mut Faults) {
-        let line = self
-            .raw
-            .entries
-            .iter()
-            .find(|entry| entry.key == key)
-            .map_or(0, |e| e.line);
+        let line = self.raw.entries.iter().find(|entry| entry.key == key).map_or(0, |e| e.line);
         faults.push(Fault::Reference {
             place: self.raw.place(line),
             key: key.to_string(),
@@ -203,10 +184,7 @@
     for section in &ini.sections {
         if !kinds.contains(&section.kind.as_str()) {
             let place = section.place(section.line);
-            faults.push(Fault::Kind {
-                place,
-                expected: kinds.join(", "),
-            });
+            faults.push(Fault::Kind { place, expected: kinds.join(", ") });
         }
     }
 }
--- a/crates/bw-ctl/src/commands/apply.rs
+++ b/crates/bw-ctl/src/commands/apply.rs
@@ -68,10 +68,7 @@
         let started = Instant::now();
         let (version, mut output) = if accepted == files.document && !read.object.is_empty() {
             let version = read.head.version;
-            (
-                version,
-                format!("nothing to change; version {version} is accepted"),
-            )
+            (version, format!("nothing to change; version {version} is accepted"))
         } else {
             let version = self.accept(&store, &files, &read).await?;
             (version, format!("accepted version {version}"))
@@ -79,9 +76,7 @@
         if self.wait {
             let count = self.wait_in_force(&files, version).await?;
             let millis = started.elapsed().as_millis();
-            output.push_str(&format!(
-                "\nin force at {count} processes after {millis} ms"
-            ));
+            output.push_str(&format!("\nin force at {count} processes after {millis} ms"));
         }
         Ok(output)
     }
@@ -113,10 +108,7 @@
                 return Ok(status?.processes.iter().filter(has).count());
             }
             if Instant::now() >= deadline {
-                return Err(CtlError::Behind {
-                    version,
-                    instances: behind,
-                });
+                return Err(CtlError::Behind { version, instances: behind });
             }
             sleep(POLL).await;
         }
@@ -127,11 +119,7 @@
 fn behind(processes: &[ProcessStatus], version: Version) -> Vec<String> {
     let counted = |one: &ProcessStatus| one.health != "gone" && one.health != "leaving";
     let late = |one: &&ProcessStatus| counted(one) && one.version < Some(version.0);
-    processes
-        .iter()
-        .filter(late)
-        .map(|one| one.instance.clone())
-        .collect()
+    processes.iter().filter(late).map(|one| one.instance.clone()).collect()
 }
 
 /// The error of a lost race, with what the winner changed.
@@ -139,8 +127,5 @@
     let read = store.head().await?;
     let accepted = store.document(&read.head).await?;
     let delta = accepted.delta(version, &files.document, Version(version.0 + 1));
-    Ok(CtlError::Raced {
-        version,
-        diff: delta.summary(),
-    })
+    Ok(CtlError::Raced { version, diff: delta.summary() })
 }
--- a/crates/bw-ctl/src/commands/explain.rs
+++ b/crates/bw-ctl/src/commands/explain.rs
@@ -47,10 +47,7 @@
             lines.extend(found.map(str::to_string));
         }
         if lines.is_empty() {
-            return Err(CtlError::NoEntry(format!(
-                "nothing is known of {:?}",
-                self.subject
-            )));
+            return Err(CtlError::NoEntry(format!("nothing is known of {:?}", self.subject)));
         }
         Ok(lines.join("\n"))
     }
--- a/crates/bw-ctl/src/commands/mod.rs
+++ b/crates/bw-ctl/src/commands/mod.rs
@@ -90,10 +90,7 @@
     let client = Client::new();
     let mut reason = "no address is known".to_string();
     for address in addresses {
-        match client
-            .get(&format!("http://{address}{path}"), ENTRY_LIMIT)
-            .await
-        {
+        match client.get(&format!("http://{address}{path}"), ENTRY_LIMIT).await {
             Ok(reply) if reply.status == 200 => {
                 return serde_json::from_slice(&reply.body)
                     .map_err(|error| CtlError::NoEntry(error.to_string()));
--- a/crates/bw-ctl/src/commands/show.rs
+++ b/crates/bw-ctl/src/commands/show.rs
@@ -30,10 +30,6 @@
         let store = open_store(&self.platform)?;
         let read = store.head().await?;
         let document = store.document(&read.head).await?;
-        Ok(format!(
-            "# version {}\n{}",
-            read.head.version,
-            document.to_text().trim_end()
-        ))
+        Ok(format!("# version {}\n{}", read.head.version, document.to_text().trim_end()))
     }
 }
--- a/crates/bw-ctl/src/commands/status.rs
+++ b/crates/bw-ctl/src/commands/status.rs
@@ -55,9 +55,7 @@
             let fleet = bw_conf::build_fleet(read.head.version, &[file])?;
             Ok(entry_addresses(None, Some(&fleet)))
         }
-        (None, None) => Err(CtlError::Usage(
-            "--entry or --platform is needed".to_string(),
-        )),
+        (None, None) => Err(CtlError::Usage("--entry or --platform is needed".to_string())),
     }
 }
 
@@ -67,18 +65,14 @@
         status.version, status.entry, status.waiting
     )];
     for one in &status.processes {
-        let version = one
-            .version
-            .map_or("none".to_string(), |version| version.to_string());
+        let version = one.version.map_or("none".to_string(), |version| version.to_string());
         lines.push(format!(
             "process   {:<16} {:<6} version {version:<5} {}",
             one.instance, one.role, one.health
         ));
     }
     for one in &status.endpoints {
-        let running = one
-            .running
-            .map_or("?".to_string(), |running| running.to_string());
+        let running = one.running.map_or("?".to_string(), |running| running.to_string());
         lines.push(format!(
             "endpoint  {:<16} {:<12} running {running}/{}  gate {}  ranks {}",
             one.endpoint, one.pool, one.slots, one.gate, one.ranks
--- a/crates/bw-ctl/src/commands/token.rs
+++ b/crates/bw-ctl/src/commands/token.rs
@@ -25,17 +25,11 @@
         let mut token = String::new();
         std::io::stdin()
             .read_to_string(&mut token)
-            .map_err(|error| CtlError::File {
-                file: "standard input".to_string(),
-                error,
-            })?;
+            .map_err(|error| CtlError::File { file: "standard input".to_string(), error })?;
         let token = token.trim();
         if token.is_empty() {
             return Err(CtlError::Usage("the token is empty".to_string()));
         }
-        Ok(format!(
-            "token-hash = {}",
-            blake3::hash(token.as_bytes()).to_hex()
-        ))
+        Ok(format!("token-hash = {}", blake3::hash(token.as_bytes()).to_hex()))
     }
 }
--- a/crates/bw-ctl/src/files.rs
+++ b/crates/bw-ctl/src/files.rs
@@ -40,10 +40,8 @@
     let mut faults = Faults::default();
     for path in paths {
         let file = path.display().to_string();
-        let bytes = std::fs::read(path).map_err(|error| CtlError::File {
-            file: file.clone(),
-            error,
-        })?;
+        let bytes =
+            std::fs::read(path).map_err(|error| CtlError::File { file: file.clone(), error })?;
         match IniFile::parse_bytes(&file, &bytes) {
             Ok(parsed) => files.push(parsed),
             Err(found) => faults.0.extend(found.0),
@@ -51,10 +49,7 @@
     }
     faults.check(())?;
     let fleet = build_fleet(Version(0), &files)?;
-    Ok(Files {
-        document: Document::from_files(&files),
-        fleet,
-    })
+    Ok(Files { document: Document::from_files(&files), fleet })
 }
 
 /// The configuration in the object API at `platform`.
@@ -62,10 +57,6 @@
 /// # Errors
 /// [`CtlError::Kernel`].
 pub fn open_store(platform: &str) -> Result<ConfigStore, CtlError> {
-    let store = Store::new(
-        platform,
-        Budget::new(CALL_RATE, CALL_BURST),
-        &Metrics::default(),
-    )?;
+    let store = Store::new(platform, Budget::new(CALL_RATE, CALL_BURST), &Metrics::default())?;
     Ok(ConfigStore::new(store))
 }
--- a/crates/bw-duty/src/lease.rs
+++ b/crates/bw-duty/src/lease.rs
@@ -45,13 +45,7 @@
 impl Tenant {
     /// A process that tries after `patience` once a lease of length `term` has run out.
     pub fn new(instance: String, term: Duration, patience: Duration) -> Self {
-        Self {
-            instance,
-            term,
-            patience,
-            seen: None,
-            held: None,
-        }
+        Self { instance, term, patience, seen: None, held: None }
     }
 
     /// Takes the lease as read from the store; `None` when the object does not exist.
@@ -74,32 +68,16 @@
         if let Some((fence, renewed)) = self.held {
             let due = now.saturating_sub(renewed) >= self.term / 3;
             let renewal = lease.renewal + 1;
-            let next = Lease {
-                holder: self.instance.clone(),
-                fence,
-                renewal,
-            };
-            return if due {
-                LeaseStep::Write(next)
-            } else {
-                LeaseStep::Wait
-            };
+            let next = Lease { holder: self.instance.clone(), fence, renewal };
+            return if due { LeaseStep::Write(next) } else { LeaseStep::Wait };
         }
         let free = lease.holder.is_empty();
-        let wait = if free {
-            self.patience
-        } else {
-            self.term + self.patience
-        };
+        let wait = if free { self.patience } else { self.term + self.patience };
         if now.saturating_sub(*since) < wait {
             return LeaseStep::Wait;
         }
         let fence = Fence(lease.fence.0 + 1);
-        LeaseStep::Write(Lease {
-            holder: self.instance.clone(),
-            fence,
-            renewal: 0,
-        })
+        LeaseStep::Write(Lease { holder: self.instance.clone(), fence, renewal: 0 })
     }
 
     /// Notes that the conditional write of `lease`, started at `started`, took effect.
--- a/crates/bw-entry/src/agents.rs
+++ b/crates/bw-entry/src/agents.rs
@@ -96,13 +96,7 @@
         head: bool,
     ) -> Result<ReadReply, CallError> {
         let wait = READ_WAIT.as_millis() as u64;
-        let request = AgentRequest::Read {
-            attempt,
-            incarnation,
-            offset,
-            head,
-            wait,
-        };
+        let request = AgentRequest::Read { attempt, incarnation, offset, head, wait };
         match self.call(agent, &request, READ_LIMIT).await? {
             AgentReply::Chunk(chunk) => Ok(ReadReply::Chunk(chunk)),
             AgentReply::Lost(standing) => Ok(ReadReply::Lost(standing)),
@@ -120,10 +114,7 @@
         attempt: AttemptId,
         incarnation: Incarnation,
     ) -> Result<Standing, CallError> {
-        let request = AgentRequest::Ask {
-            attempt,
-            incarnation,
-        };
+        let request = AgentRequest::Ask { attempt, incarnation };
         match self.call(agent, &request, ASK_LIMIT).await? {
             AgentReply::Standing(standing) => Ok(standing),
             other => Err(unfit(other)),
@@ -134,9 +125,7 @@
     pub fn release(&self, agent: SocketAddr, attempt: AttemptId) {
         let agents = self.clone();
         tokio::spawn(async move {
-            let _ = agents
-                .call(agent, &AgentRequest::Release(attempt), ASK_LIMIT)
-                .await;
+            let _ = agents.call(agent, &AgentRequest::Release(attempt), ASK_LIMIT).await;
         });
     }
 
@@ -151,11 +140,7 @@
         limit: Duration,
     ) -> Result<AgentReply, CallError> {
         let bytes = encode(request).map_err(CallError::Codec)?;
-        let reply = self
-            .pool
-            .call(agent, &bytes, limit)
-            .await
-            .map_err(CallError::Link)?;
+        let reply = self.pool.call(agent, &bytes, limit).await.map_err(CallError::Link)?;
         decode(&reply).map_err(CallError::Codec)
     }
 }
--- a/crates/bw-entry/src/claims.rs
+++ b/crates/bw-entry/src/claims.rs
@@ -42,13 +42,7 @@
         members: Members,
         config: Config,
     ) -> Self {
-        Self {
-            instance,
-            store,
-            pool,
-            members,
-            config,
-        }
+        Self { instance, store, pool, members, config }
     }
 
     /// Reads the claim of a key.
@@ -72,11 +66,7 @@
         claim: Option<Claim>,
     ) -> Swap {
         if let Some(owner) = self.owner(key) {
-            let request = EntryRequest::Swap {
-                key,
-                expect,
-                claim: claim.clone(),
-            };
+            let request = EntryRequest::Swap { key, expect, claim: claim.clone() };
             if let Some(swap) = self.forward(owner, &request).await {
                 return swap;
             }
@@ -98,10 +88,7 @@
         let item = format!("shard-{}", shard_of(key));
         let order = rendezvous_order(&item, names.iter().map(String::as_str));
         let owner = order.first().filter(|owner| **owner != self.instance)?;
-        current
-            .fleet
-            .instance(owner)
-            .map(|(_, instance)| instance.link)
+        current.fleet.instance(owner).map(|(_, instance)| instance.link)
     }
 
     async fn forward(&self, owner: std::net::SocketAddr, request: &EntryRequest) -> Option<Swap> {
--- a/crates/bw-entry/src/config.rs
+++ b/crates/bw-entry/src/config.rs
@@ -98,8 +98,7 @@
 
     /// The version in force; 0 before the first one.
     pub fn version(&self) -> Version {
-        self.current()
-            .map_or(Version(0), |current| current.version())
+        self.current().map_or(Version(0), |current| current.version())
     }
 
     /// What a process that has version `have` lacks.
@@ -166,9 +165,7 @@
         let next = Arc::new(Current { document, fleet });
         let replaced = self.current.send_if_modified(|current| {
             // Another task may have put a newer one in force in the meantime.
-            let newer = current
-                .as_ref()
-                .is_none_or(|current| current.version() < version);
+            let newer = current.as_ref().is_none_or(|current| current.version() < version);
             if newer {
                 self.keep_delta(current.as_deref(), &next);
                 *current = Some(next.clone());
@@ -261,17 +258,12 @@
         };
         let names = members.live_entries_near(&current.fleet);
         let order = rendezvous_order("watch", names.iter().map(String::as_str));
-        order
-            .iter()
-            .take(WATCHERS)
-            .any(|name| *name == self.instance)
+        order.iter().take(WATCHERS).any(|name| *name == self.instance)
     }
 
     fn keep_delta(&self, current: Option<&Current>, next: &Current) {
         let Some(current) = current else { return };
-        let delta = current
-            .document
-            .delta(current.version(), &next.document, next.version());
+        let delta = current.document.delta(current.version(), &next.document, next.version());
         let mut deltas = self.deltas.lock().unwrap_or_else(PoisonError::into_inner);
         deltas.push_back(delta);
         while deltas.len() > DELTAS_MAX {
--- a/crates/bw-entry/src/evidence.rs
+++ b/crates/bw-entry/src/evidence.rs
@@ -30,28 +30,17 @@
 impl SharedEvidence {
     /// No evidence yet.
     pub fn new(instance: String, pool: Pool, config: Config) -> Self {
-        Self {
-            instance,
-            evidence: Arc::default(),
-            pool,
-            config,
-        }
+        Self { instance, evidence: Arc::default(), pool, config }
     }
 
     /// How a request stands.
     pub fn standing(&self, fingerprint: u64) -> Standing {
-        self.evidence
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .standing(fingerprint)
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner).standing(fingerprint)
     }
 
     /// Clears a request that was answered whole.
     pub fn clear(&self, fingerprint: u64) {
-        self.evidence
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clear(fingerprint);
+        self.evidence.lock().unwrap_or_else(PoisonError::into_inner).clear(fingerprint);
     }
 
     /// Records crashes and tells the other entries those that were not known. Returns once they
@@ -59,10 +48,7 @@
     pub async fn record(&self, crashes: Vec<Crash>) {
         let fresh: Vec<Crash> = {
             let mut evidence = self.evidence.lock().unwrap_or_else(PoisonError::into_inner);
-            crashes
-                .into_iter()
-                .filter(|crash| evidence.record(crash))
-                .collect()
+            crashes.into_iter().filter(|crash| evidence.record(crash)).collect()
         };
         for crash in &fresh {
             warn!(
--- a/crates/bw-entry/src/main.rs
+++ b/crates/bw-entry/src/main.rs
@@ -13,6 +13,7 @@
 use bw_entry::evidence::SharedEvidence;
 use bw_entry::link::EntryHandler;
 use bw_entry::members::Members;
+use bw_entry::planner::PlanService;
 use bw_entry::queue::Queue;
 use bw_entry::requests::context::RequestMetrics;
 use bw_entry::requests::Services;
@@ -112,14 +113,22 @@
     let (routing, queue) = (services.routing.clone(), services.queue.clone());
     kernel.start("routing", |stop| routing.run(stop));
     kernel.start("queue", |stop| queue.run(stop));
+    let planner = PlanService {
+        instance: settings.instance.to_string(),
+        interval: settings.plan,
+        store: kernel.registry.find("platform")?,
+        agents: services.agents.clone(),
+        config: services.config.clone(),
+        members: services.members.clone(),
+        decisions: services.decisions.clone(),
+    };
+    kernel.start("planner", |stop| planner.run(stop));
     let listener = bw_http::bind(http).await?;
     let routes = bw_entry::web::routes(&services, &metrics)?;
     kernel.start("web", |stop| bw_http::serve(listener, routes, stop));
     // Starts last and so stops first: callers are sent elsewhere before connections drain.
     let members = services.members.clone();
-    kernel.start("leave", |stop| {
-        bw_entry::members::leave_on_stop(members, stop)
-    });
+    kernel.start("leave", |stop| bw_entry::members::leave_on_stop(members, stop));
     kernel.run(grace).await?;
     Ok(())
 }
@@ -132,11 +141,8 @@
 ) -> Result<Services, EntryError> {
     let instance = settings.instance.to_string();
     let burst = settings.rate * PLATFORM_BURST_SECONDS;
-    let store = Store::new(
-        &settings.platform,
-        Budget::new(settings.rate, burst.max(150.0)),
-        metrics,
-    )?;
+    let store =
+        Store::new(&settings.platform, Budget::new(settings.rate, burst.max(150.0)), metrics)?;
     let pool = Pool::new();
     let own = PeerState {
         instance: instance.clone(),
@@ -146,11 +152,7 @@
         version: Version(0),
     };
     let members = Members::new(own, settings.centre.to_string(), Instant::now());
-    let config = Config::new(
-        instance.clone(),
-        ConfigStore::new(store.clone()),
-        pool.clone(),
-    );
+    let config = Config::new(instance.clone(), ConfigStore::new(store.clone()), pool.clone());
     let routing = Routing::new(rand::random(), members.clone(), config.clone());
     let queue = Queue::new(routing.clone(), config.clone());
     let evidence = SharedEvidence::new(instance.clone(), pool.clone(), config.clone());
--- a/crates/bw-entry/src/members.rs
+++ b/crates/bw-entry/src/members.rs
@@ -79,17 +79,12 @@
 
     /// The own region, once the configuration names it.
     pub fn region(&self) -> String {
-        self.region
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.region.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Takes the region of the own data centre from the configuration.
     pub fn set_fleet(&self, fleet: &Fleet) {
-        let home = fleet
-            .centres
-            .find(|centre| centre.name.as_str() == self.centre);
+        let home = fleet.centres.find(|centre| centre.name.as_str() == self.centre);
         if let Some((_, home)) = home {
             let region = home.region.to_string();
             *self.region.lock().unwrap_or_else(PoisonError::into_inner) = region;
@@ -101,9 +96,7 @@
         let urgent = beat.leaving;
         let now = self.now();
         let mut roster = self.lock();
-        let known = roster
-            .agent(&beat.instance)
-            .is_some_and(|known| known.leaving);
+        let known = roster.agent(&beat.instance).is_some_and(|known| known.leaving);
         let fresh = roster.take_beat(beat, now);
         drop(roster);
         if urgent && !known {
@@ -172,10 +165,7 @@
             };
             let centre = &fleet.centres[entry.centre];
             Candidate {
-                address: Address {
-                    http,
-                    centre: centre.name.to_string(),
-                },
+                address: Address { http, centre: centre.name.to_string() },
                 region: centre.region.to_string(),
                 health,
                 weight: rendezvous_weight(caller, name),
@@ -245,12 +235,8 @@
 
     fn other_entries(&self, fleet: &Fleet) -> Vec<(String, SocketAddr)> {
         let own = self.lock().own().instance.clone();
-        let entries = fleet
-            .entries()
-            .filter(|(_, entry, _)| entry.name.as_str() != own);
-        entries
-            .map(|(_, entry, _)| (entry.name.to_string(), entry.link))
-            .collect()
+        let entries = fleet.entries().filter(|(_, entry, _)| entry.name.as_str() != own);
+        entries.map(|(_, entry, _)| (entry.name.to_string(), entry.link)).collect()
     }
 
     /// The versions in force at all processes heard of, by instance; `None` for those not heard.
@@ -263,31 +249,17 @@
             let name = instance.name.as_str();
             let row = match instance.role {
                 Role::Entry { .. } if name == own.instance => {
-                    let health = if own.leaving {
-                        Health::Leaving
-                    } else {
-                        Health::Live
-                    };
+                    let health = if own.leaving { Health::Leaving } else { Health::Live };
                     (name.to_string(), "entry", Some(own.version), health)
                 }
                 Role::Entry { .. } => {
                     let peer = roster.peers().find(|peer| peer.instance == name);
                     let version = peer.map(|peer| peer.version);
-                    (
-                        name.to_string(),
-                        "entry",
-                        version,
-                        roster.peer_health(name, now),
-                    )
+                    (name.to_string(), "entry", version, roster.peer_health(name, now))
                 }
                 Role::Agent { .. } => {
                     let version = roster.agent(name).map(|beat| beat.version);
-                    (
-                        name.to_string(),
-                        "agent",
-                        version,
-                        roster.agent_health(name, now),
-                    )
+                    (name.to_string(), "agent", version, roster.agent_health(name, now))
                 }
             };
             versions.push(row);
--- a/crates/bw-entry/src/queue.rs
+++ b/crates/bw-entry/src/queue.rs
@@ -133,10 +133,7 @@
 
     /// Requests that wait, over all pools.
     pub fn len(&self) -> usize {
-        self.lock()
-            .values()
-            .map(|lanes| lanes.admission.len())
-            .sum()
+        self.lock().values().map(|lanes| lanes.admission.len()).sum()
     }
 
     /// True when no request waits.
@@ -200,9 +197,7 @@
 impl Admitted {
     fn new(pending: &Arc<AtomicU32>) -> Self {
         pending.fetch_add(1, Ordering::Relaxed);
-        Self {
-            pending: pending.clone(),
-        }
+        Self { pending: pending.clone() }
     }
 }
 
--- a/crates/bw-entry/src/requests/attempt.rs
+++ b/crates/bw-entry/src/requests/attempt.rs
@@ -59,10 +59,7 @@
 impl Waiting {
     /// Starts waiting for an attempt.
     pub fn new(agents: &Agents, place: Place) -> Self {
-        Self {
-            agents: agents.clone(),
-            place,
-        }
+        Self { agents: agents.clone(), place }
     }
 }
 
--- a/crates/bw-entry/src/requests/chat.rs
+++ b/crates/bw-entry/src/requests/chat.rs
@@ -147,10 +147,7 @@
     /// Counts a request's result and time.
     pub fn note_result(&self, kind: &str, fault: Option<&Fault>, started: Duration) {
         let result = fault.map_or("whole", Fault::code);
-        self.metrics
-            .requests
-            .with_label_values(&[kind, result])
-            .inc();
+        self.metrics.requests.with_label_values(&[kind, result]).inc();
         let time = self.routing.now().saturating_sub(started).as_secs_f64();
         self.metrics.time.with_label_values(&[kind]).observe(time);
     }
@@ -163,25 +160,18 @@
     let usable = |id: &String| {
         !id.is_empty() && id.len() <= ID_BYTES_MAX && id.bytes().all(|byte| byte.is_ascii_graphic())
     };
-    given
-        .filter(usable)
-        .unwrap_or_else(|| uuid::Uuid::new_v4().to_string())
+    given.filter(usable).unwrap_or_else(|| uuid::Uuid::new_v4().to_string())
 }
 
 /// The bearer token of a request.
 pub fn bearer_token(request: &Request) -> Option<String> {
     let header: String = request.header("authorization")?;
-    header
-        .strip_prefix("Bearer ")
-        .map(|token| token.trim().to_string())
+    header.strip_prefix("Bearer ").map(|token| token.trim().to_string())
 }
 
 /// An answer that is held in whole.
 pub fn whole_response(id: &str, buffer: Buffer) -> Response {
-    let head = buffer.head.unwrap_or(Head {
-        status: 200,
-        headers: Vec::new(),
-    });
+    let head = buffer.head.unwrap_or(Head { status: 200, headers: Vec::new() });
     let mut response = Response::new(Body::from(http_body_util::Full::from(buffer.body)));
     set_head(&mut response, id, &head);
     response
@@ -205,10 +195,7 @@
 fn set_head(response: &mut Response, id: &str, head: &Head) {
     let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
     *response.status_mut() = status;
-    let named = head
-        .headers
-        .iter()
-        .map(|(name, value)| (name.as_str(), value.as_str()));
+    let named = head.headers.iter().map(|(name, value)| (name.as_str(), value.as_str()));
     for (name, value) in named.chain([(REQUEST_HEADER, id)]) {
         let pair = (HeaderName::try_from(name), HeaderValue::from_str(value));
         if let (Ok(name), Ok(value)) = pair {
--- a/crates/bw-entry/src/requests/context.rs
+++ b/crates/bw-entry/src/requests/context.rs
@@ -157,10 +157,7 @@
                 away.0.as_millis()
             );
             self.decisions.note(&job.id, line);
-            Fault::Refused {
-                code: "queue_full",
-                after: away.0,
-            }
+            Fault::Refused { code: "queue_full", after: away.0 }
         })
     }
 
@@ -188,11 +185,7 @@
                 let texts = scores
                     .map(|one| format!("{}:{:.1}", endpoints[one.endpoint].name, one.score))
                     .collect::<Vec<String>>();
-                (
-                    endpoints[choice.endpoint].name.as_str(),
-                    texts.join(","),
-                    choice.reason,
-                )
+                (endpoints[choice.endpoint].name.as_str(), texts.join(","), choice.reason)
             }
             None => ("none", String::new(), "no_endpoint"),
         };
--- a/crates/bw-entry/src/requests/once.rs
+++ b/crates/bw-entry/src/requests/once.rs
@@ -159,30 +159,18 @@
         self.admitted = None;
         self.admitted = Some(self.services.admit(self.job).await.ok()?);
         let choice = self.services.choose(self.job, &self.exclude)?;
-        let endpoint = self.job.current.fleet.endpoints[choice.endpoint]
-            .name
-            .to_string();
+        let endpoint = self.job.current.fleet.endpoints[choice.endpoint].name.to_string();
         let incarnation = choice.incarnation;
         self.choice = Some(choice);
-        Some(Target {
-            endpoint,
-            incarnation,
-            attempt: super::context::new_attempt(),
-        })
+        Some(Target { endpoint, incarnation, attempt: super::context::new_attempt() })
     }
 
     /// The place of a claim's attempt; `None` when the configuration no longer has its endpoint.
     fn place(&self, claim: &Claim) -> Option<Place> {
         let fleet = &self.job.current.fleet;
-        let (_, endpoint) = fleet
-            .endpoints
-            .find(|one| one.name.as_str() == claim.endpoint)?;
+        let (_, endpoint) = fleet.endpoints.find(|one| one.name.as_str() == claim.endpoint)?;
         let agent = fleet.instances[endpoint.gate()?].link;
-        Some(Place {
-            agent,
-            incarnation: claim.incarnation,
-            attempt: claim.attempt,
-        })
+        Some(Place { agent, incarnation: claim.incarnation, attempt: claim.attempt })
     }
 
     async fn dispatch(&mut self, claim: Claim) -> Event {
@@ -212,11 +200,7 @@
         let Some(place) = self.place(&claim) else {
             return Event::Silent;
         };
-        let asked = self
-            .services
-            .agents
-            .ask(place.agent, place.attempt, place.incarnation)
-            .await;
+        let asked = self.services.agents.ask(place.agent, place.attempt, place.incarnation).await;
         asked.map_or(Event::Silent, Event::Standing)
     }
 
@@ -225,14 +209,8 @@
             return Event::Silent;
         };
         self.answer = Buffer::new(self.services.settings.answer);
-        let end = self
-            .services
-            .read_answer(self.job, place, &mut self.answer)
-            .await;
-        info!(
-            "event=once_read request={} attempt={} end={end:?}",
-            self.job.id, claim.attempt
-        );
+        let end = self.services.read_answer(self.job, place, &mut self.answer).await;
+        info!("event=once_read request={} attempt={} end={end:?}", self.job.id, claim.attempt);
         match end {
             ReadEnd::Whole => Event::Ended(true),
             ReadEnd::Crashed(number) => {
--- a/crates/bw-entry/src/requests/repeatable.rs
+++ b/crates/bw-entry/src/requests/repeatable.rs
@@ -63,29 +63,19 @@
             if self.evidence.standing(job.fingerprint) == Standing::Quarantined {
                 return Err(Fault::Quarantined);
             }
-            let admitted = self
-                .admit(&job)
-                .await
-                .map_err(|fault| late_if(dispatched, fault))?;
+            let admitted = self.admit(&job).await.map_err(|fault| late_if(dispatched, fault))?;
             let Some(choice) = self.choose(&job, &exclude) else {
                 drop(admitted);
                 if exclude.is_empty() {
-                    let fault = Fault::Refused {
-                        code: "no_endpoint",
-                        after: REFUSED_PAUSE,
-                    };
+                    let fault = Fault::Refused { code: "no_endpoint", after: REFUSED_PAUSE };
                     return Err(late_if(dispatched, fault));
                 }
                 // All have refused or failed; start over with all of them after a moment.
                 exclude.clear();
-                self.pause(&job)
-                    .await
-                    .map_err(|fault| late_if(dispatched, fault))?;
+                self.pause(&job).await.map_err(|fault| late_if(dispatched, fault))?;
                 continue;
             };
-            let endpoint = job.current.fleet.endpoints[choice.endpoint]
-                .name
-                .to_string();
+            let endpoint = job.current.fleet.endpoints[choice.endpoint].name.to_string();
             match self.attempt(&job, &choice, admitted, sink).await {
                 AttemptEnd::Whole => {
                     self.routing.earn_retry(job.pool_name());
@@ -131,11 +121,7 @@
         };
         let agent = job.current.fleet.instances[gate].link;
         let dispatch = self.dispatch_of(job, choice, false);
-        let place = Place {
-            agent,
-            incarnation: choice.incarnation,
-            attempt: dispatch.attempt,
-        };
+        let place = Place { agent, incarnation: choice.incarnation, attempt: dispatch.attempt };
         let mut sent = self.routing.start(choice.slot, &job.blocks);
         drop(admitted);
         let waiting = Waiting::new(&self.agents, place);
@@ -171,9 +157,7 @@
     /// Shares the evidence before anything is retried, so that the retry is known as a suspect.
     pub async fn note_crash(&self, job: &Job, choice: &Choice, number: u32) {
         let crash = Crash {
-            endpoint: job.current.fleet.endpoints[choice.endpoint]
-                .name
-                .to_string(),
+            endpoint: job.current.fleet.endpoints[choice.endpoint].name.to_string(),
             incarnation: choice.incarnation,
             number,
             fingerprints: vec![job.fingerprint],
@@ -187,10 +171,7 @@
     /// [`Fault::Refused`] when the deadline passes first.
     async fn pause(&self, job: &Job) -> Result<(), Fault> {
         if self.time_left(job) <= REFUSED_PAUSE {
-            return Err(Fault::Refused {
-                code: "refused",
-                after: Duration::from_secs(1),
-            });
+            return Err(Fault::Refused { code: "refused", after: Duration::from_secs(1) });
         }
         tokio::time::sleep(REFUSED_PAUSE).await;
         Ok(())
@@ -203,10 +184,7 @@
 
     /// Counts an attempt of a repeatable request.
     fn count_attempt(&self, result: &str) {
-        self.metrics
-            .attempts
-            .with_label_values(&["repeatable", result])
-            .inc();
+        self.metrics.attempts.with_label_values(&["repeatable", result]).inc();
     }
 }
 
--- a/crates/bw-entry/src/requests/service.rs
+++ b/crates/bw-entry/src/requests/service.rs
@@ -61,13 +61,8 @@
         let token = bearer_token(&request);
         let timeout = self.timeout_of(&request);
         let key: Option<String> = request.header(KEY_HEADER);
-        if key
-            .as_ref()
-            .is_some_and(|key| key.is_empty() || key.len() > KEY_BYTES_MAX)
-        {
-            return Err(Fault::Body(format!(
-                "Idempotency-Key has 1 to {KEY_BYTES_MAX} bytes"
-            )));
+        if key.as_ref().is_some_and(|key| key.is_empty() || key.len() > KEY_BYTES_MAX) {
+            return Err(Fault::Body(format!("Idempotency-Key has 1 to {KEY_BYTES_MAX} bytes")));
         }
         let (service, path) = split_path(&request)?;
         let method = request.method().to_string();
@@ -90,22 +85,14 @@
             deadline: self.routing.now() + timeout,
             fingerprint: fingerprint(&service, &path, &body),
             blocks: Vec::new(),
-            call: Call {
-                method,
-                path,
-                headers,
-                body: body.to_vec(),
-            },
+            call: Call { method, path, headers, body: body.to_vec() },
             current,
         };
         let buffer = match (once, key) {
             (false, _) => self.run_service(job).await?,
             (true, Some(key)) => {
                 let key = hash_key(&workspace_name, &service, &key);
-                let table = KeyClaim {
-                    claims: self.claims.clone(),
-                    key,
-                };
+                let table = KeyClaim { claims: self.claims.clone(), key };
                 self.run_detached(job, table).await?
             }
             (true, None) => self.run_detached(job, LocalClaim).await?,
@@ -133,16 +120,12 @@
 
     /// Reads the body of a request within the limits of the settings.
     pub async fn read_request(&self, request: &mut Request) -> Result<Bytes, Fault> {
-        let body = request
-            .incoming()
-            .map_err(|error| Fault::Body(error.to_string()))?;
-        read_body(body, self.settings.body, BODY_LIMIT)
-            .await
-            .map_err(|error| match error {
-                BodyError::Large(_) => Fault::Large(error.to_string()),
-                BodyError::Slow(_) => Fault::Slow(error.to_string()),
-                BodyError::Short(_) => Fault::Body(error.to_string()),
-            })
+        let body = request.incoming().map_err(|error| Fault::Body(error.to_string()))?;
+        read_body(body, self.settings.body, BODY_LIMIT).await.map_err(|error| match error {
+            BodyError::Large(_) => Fault::Large(error.to_string()),
+            BodyError::Slow(_) => Fault::Slow(error.to_string()),
+            BodyError::Short(_) => Fault::Body(error.to_string()),
+        })
     }
 
     /// The time for a request: the settings', or less if the caller says so.
@@ -172,25 +155,17 @@
     if service.is_empty() {
         return Err(Fault::Unknown("service without a name".to_string()));
     }
-    let query = request
-        .query_string()
-        .map_or(String::new(), |query| format!("?{query}"));
+    let query = request.query_string().map_or(String::new(), |query| format!("?{query}"));
     Ok((service.to_string(), format!("/{path}{query}")))
 }
 
 fn passed_headers(request: &Request) -> Vec<(String, String)> {
-    let kept = request
-        .headers()
-        .iter()
-        .filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()));
+    let kept = request.headers().iter().filter(|(name, _)| !OWN_HEADERS.contains(&name.as_str()));
     let text =
         kept.filter_map(|(name, value)| Some((name.to_string(), value.to_str().ok()?.to_string())));
-    text.filter(|(name, _)| name != super::fault::REQUEST_HEADER)
-        .collect()
+    text.filter(|(name, _)| name != super::fault::REQUEST_HEADER).collect()
 }
 
 fn is_once(rules: &[CallRule], method: &str, path: &str) -> bool {
-    rules
-        .iter()
-        .any(|rule| rule.method == method && path.starts_with(&rule.path))
+    rules.iter().any(|rule| rule.method == method && path.starts_with(&rule.path))
 }
--- a/crates/bw-entry/src/requests/sink.rs
+++ b/crates/bw-entry/src/requests/sink.rs
@@ -33,10 +33,7 @@
 impl Buffer {
     /// An empty buffer for at most `limit` bytes.
     pub fn new(limit: usize) -> Self {
-        Self {
-            limit,
-            ..Self::default()
-        }
+        Self { limit, ..Self::default() }
     }
 }
 
--- a/crates/bw-entry/src/requests/stream.rs
+++ b/crates/bw-entry/src/requests/stream.rs
@@ -70,10 +70,7 @@
         let Ok(mut value) = serde_json::from_str::<Value>(data) else {
             return event.to_vec();
         };
-        if let Some(content) = value
-            .pointer("/choices/0/delta/content")
-            .and_then(Value::as_str)
-        {
+        if let Some(content) = value.pointer("/choices/0/delta/content").and_then(Value::as_str) {
             self.text.push_str(content);
             self.tokens += 1;
         }
@@ -106,10 +103,7 @@
         if whole.is_empty() {
             return Ok(());
         }
-        self.caller
-            .send(Piece::Bytes(whole))
-            .await
-            .map_err(|_| CallerGone)
+        self.caller.send(Piece::Bytes(whole)).await.map_err(|_| CallerGone)
     }
 }
 
@@ -124,10 +118,7 @@
         }
         match continued(&self.original, &self.text, self.tokens) {
             Some(body) => {
-                job.call = Call {
-                    body,
-                    ..job.call.clone()
-                };
+                job.call = Call { body, ..job.call.clone() };
                 true
             }
             None => false,
@@ -145,17 +136,12 @@
     fields.insert("add_generation_prompt".to_string(), json!(false));
     for limit in ["max_tokens", "max_completion_tokens"] {
         if let Some(count) = fields.get(limit).and_then(Value::as_u64) {
-            fields.insert(
-                limit.to_string(),
-                json!(count.saturating_sub(tokens).max(1)),
-            );
+            fields.insert(limit.to_string(), json!(count.saturating_sub(tokens).max(1)));
         }
     }
     serde_json::to_vec(&request).ok()
 }
 
 fn find(bytes: &[u8], pattern: &[u8]) -> Option<usize> {
-    bytes
-        .windows(pattern.len())
-        .position(|window| window == pattern)
+    bytes.windows(pattern.len()).position(|window| window == pattern)
 }
--- a/crates/bw-entry/src/routing.rs
+++ b/crates/bw-entry/src/routing.rs
@@ -47,12 +47,7 @@
     /// Routing over the members and the configuration.
     pub fn new(seed: u64, members: Members, config: Config) -> Self {
         let router = Arc::new(Mutex::new(Router::new(seed)));
-        Self {
-            router,
-            budgets: Arc::default(),
-            members,
-            config,
-        }
+        Self { router, budgets: Arc::default(), members, config }
     }
 
     /// The router.
@@ -68,11 +63,7 @@
     /// Notes that a request is sent to an endpoint.
     pub fn start(&self, slot: SlotKey, blocks: &[u64]) -> Sent {
         self.lock().start(slot, blocks, self.now());
-        Sent {
-            routing: self.clone(),
-            slot,
-            whole: false,
-        }
+        Sent { routing: self.clone(), slot, whole: false }
     }
 
     /// Notes a failure that speaks against the endpoint.
@@ -88,10 +79,7 @@
 
     /// Notes a whole answer of the pool.
     pub fn earn_retry(&self, pool: &str) {
-        self.budgets()
-            .entry(pool.to_string())
-            .or_default()
-            .succeed();
+        self.budgets().entry(pool.to_string()).or_default().succeed();
     }
 
     /// Takes the load and presence of new heartbeats.
@@ -137,8 +125,7 @@
         };
         self.members.set_fleet(&current.fleet);
         let region = self.members.region();
-        self.lock()
-            .set_fleet(&current.fleet, self.members.centre(), &region);
+        self.lock().set_fleet(&current.fleet, self.members.centre(), &region);
     }
 
     /// Takes the health of every endpoint's gate.
@@ -178,11 +165,7 @@
         let Some(slot) = router.slot(endpoint) else {
             return;
         };
-        let presence = if beat.leaving {
-            Presence::Leaving
-        } else {
-            Presence::Live
-        };
+        let presence = if beat.leaving { Presence::Leaving } else { Presence::Live };
         router.set_presence(slot, presence, Some(beat.incarnation), now);
         if let Some(load) = beat.load {
             router.report(
--- a/crates/bw-entry/src/web.rs
+++ b/crates/bw-entry/src/web.rs
@@ -24,20 +24,13 @@
 /// [`KernelError::Metric`].
 pub fn routes(services: &Services, metrics: &Metrics) -> Result<Router, KernelError> {
     let waiting = metrics.gauge("bw_entry_waiting", "Requests that wait in queues.", &[])?;
-    let version = metrics.gauge(
-        "bw_entry_config_version",
-        "Configuration version in force.",
-        &[],
-    )?;
+    let version =
+        metrics.gauge("bw_entry_config_version", "Configuration version in force.", &[])?;
     let shared = services.clone();
     let metrics = metrics.clone();
     let render = move |_: Request| {
-        waiting
-            .with_label_values::<&str>(&[])
-            .set(shared.queue.len() as i64);
-        version
-            .with_label_values::<&str>(&[])
-            .set(shared.config.version().0 as i64);
+        waiting.with_label_values::<&str>(&[]).set(shared.queue.len() as i64);
+        version.with_label_values::<&str>(&[]).set(shared.config.version().0 as i64);
         let text = metrics.render();
         async move { Ok(text) }
     };
@@ -92,9 +85,7 @@
     let Some(current) = services.config.current() else {
         return Fault::Starting.response("");
     };
-    let caller = request
-        .remote_addr()
-        .map_or(String::new(), |address| address.to_string());
+    let caller = request.remote_addr().map_or(String::new(), |address| address.to_string());
     let addresses = services.members.addresses(&current.fleet, &caller);
     let body = json!({ "entries": addresses, "lifetime_seconds": ADDRESS_SECONDS });
     json_reply(StatusCode::OK, &body)
@@ -138,11 +129,7 @@
         .iter()
         .filter_map(|(_, endpoint)| {
             let gate = fleet.instances[endpoint.gate()?].name.to_string();
-            let load = services
-                .members
-                .lock()
-                .agent(&gate)
-                .and_then(|beat| beat.load);
+            let load = services.members.lock().agent(&gate).and_then(|beat| beat.load);
             Some(json!({
                 "endpoint": endpoint.name,
                 "pool": fleet.pools[endpoint.pool].name,
@@ -166,11 +153,7 @@
 fn explain_reply(services: &Services, request: &Request) -> Response {
     let subject: String = request.param("subject").unwrap_or_default();
     let lines = services.decisions.about(&subject);
-    let status = if lines.is_empty() {
-        StatusCode::NOT_FOUND
-    } else {
-        StatusCode::OK
-    };
+    let status = if lines.is_empty() { StatusCode::NOT_FOUND } else { StatusCode::OK };
     json_reply(status, &json!({ "subject": subject, "decisions": lines }))
 }
 
@@ -178,10 +161,7 @@
     if services.config.current().is_some() {
         text_reply(StatusCode::OK, "ok".to_string())
     } else {
-        text_reply(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "no configuration yet".to_string(),
-        )
+        text_reply(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet".to_string())
     }
 }
 
--- a/crates/bw-expert/src/map.rs
+++ b/crates/bw-expert/src/map.rs
@@ -64,16 +64,10 @@
         match self {
             Self::Slots { layer, found } => write!(f, "layer {layer} has {found} slots"),
             Self::Expert { layer, slot } => {
-                write!(
-                    f,
-                    "layer {layer}, slot {slot} holds an expert that does not exist"
-                )
+                write!(f, "layer {layer}, slot {slot} holds an expert that does not exist")
             }
             Self::Shares { layer, expert, sum } => {
-                write!(
-                    f,
-                    "layer {layer}, expert {expert}: shares add up to {sum}/{SHARE_WHOLE}"
-                )
+                write!(f, "layer {layer}, expert {expert}: shares add up to {sum}/{SHARE_WHOLE}")
             }
         }
     }
@@ -93,24 +87,24 @@
 }
 
 impl ExpertMap {
-    /// Experts in turn over all slots, each expert's tokens shared alike among its replicas.
+    /// All experts over all slots: as many replicas of each as go round, the experts with more
+    /// replicas dealt out to the ranks first, so that even demand gives even ranks.
     pub fn initial(ranks: u16, slots: u16, layers: u16, experts: u16) -> Self {
-        let count = usize::from(ranks) * usize::from(slots);
-        let order: Vec<u16> = (0..count)
-            .map(|slot| (slot % usize::from(experts)) as u16)
-            .collect();
-        let mut layer = Layer {
-            shares: vec![0; count],
-            experts: order,
+        let (ranks_n, slots_n) = (usize::from(ranks), usize::from(slots));
+        let count = ranks_n * slots_n;
+        let copies = |expert: usize| {
+            count / usize::from(experts) + usize::from(expert < count % usize::from(experts))
         };
+        let deck = (0..usize::from(experts))
+            .flat_map(|expert| std::iter::repeat_n(expert as u16, copies(expert)));
+        let mut order = vec![0; count];
+        for (card, expert) in deck.enumerate() {
+            order[card % ranks_n * slots_n + card / ranks_n] = expert;
+        }
+        let mut layer = Layer { shares: vec![0; count], experts: order };
         layer.share_alike(usize::from(experts));
         let layers = vec![layer; usize::from(layers)];
-        Self {
-            version: MapVersion(1),
-            ranks,
-            slots,
-            layers,
-        }
+        Self { version: MapVersion(1), ranks, slots, layers }
     }
 
     /// Checks that every expert is served in whole.
@@ -121,27 +115,17 @@
         let count = usize::from(self.ranks) * usize::from(self.slots);
         for (number, layer) in self.layers.iter().enumerate() {
             if layer.experts.len() != count || layer.shares.len() != count {
-                return Err(MapError::Slots {
-                    layer: number,
-                    found: layer.experts.len(),
-                });
+                return Err(MapError::Slots { layer: number, found: layer.experts.len() });
             }
             let mut sums = vec![0u32; experts];
             for (slot, expert) in layer.experts.iter().enumerate() {
                 let sum = sums.get_mut(usize::from(*expert));
-                let sum = sum.ok_or(MapError::Expert {
-                    layer: number,
-                    slot,
-                })?;
+                let sum = sum.ok_or(MapError::Expert { layer: number, slot })?;
                 *sum += u32::from(layer.shares[slot]);
             }
             let wrong = sums.iter().position(|sum| *sum != SHARE_WHOLE);
             if let Some(expert) = wrong {
-                return Err(MapError::Shares {
-                    layer: number,
-                    expert,
-                    sum: sums[expert],
-                });
+                return Err(MapError::Shares { layer: number, expert, sum: sums[expert] });
             }
         }
         Ok(())
@@ -191,8 +175,6 @@
             demand[usize::from(self.experts[slot])] * share
         };
         let ranks = self.experts.len() / slots.max(1);
-        (0..ranks)
-            .map(|rank| (rank * slots..(rank + 1) * slots).map(slot_load).sum())
-            .collect()
+        (0..ranks).map(|rank| (rank * slots..(rank + 1) * slots).map(slot_load).sum()).collect()
     }
 }
--- a/crates/bw-expert/src/message.rs
+++ b/crates/bw-expert/src/message.rs
@@ -73,6 +73,8 @@
     Settled,
     /// The map's weights are not loaded.
     Unprepared,
+    /// The agent has restarted and has not learned the newest ballot yet.
+    Unlearned,
 }
 
 /// A message between the coordinator, which is the agent of rank 0, and the agents of all ranks.
@@ -83,6 +85,13 @@
         /// The coordinator's ballot.
         ballot: Ballot,
     },
+    /// Take this ballot for the newest one: every rank has reported to it.
+    Adopt {
+        /// The coordinator's ballot.
+        ballot: Ballot,
+        /// Life of the agent it is meant for.
+        to: Incarnation,
+    },
     /// Load a map.
     Prepare {
         /// The coordinator's ballot.
@@ -140,9 +149,25 @@
         incarnation: Incarnation,
         /// Ballot that the rank obeys.
         ballot: Ballot,
+        /// Whether no newer ballot can have been forgotten by a restart.
+        learned: bool,
         /// State of its engine.
         state: EngineState,
     },
+    /// A restarted agent asks another rank for the newest ballot.
+    Learn {
+        /// The sender.
+        rank: u32,
+        /// Life of the sender.
+        incarnation: Incarnation,
+    },
+    /// On [`Message::Learn`] from a rank that has learned the newest ballot itself.
+    Known {
+        /// Life of the agent it is meant for.
+        to: Incarnation,
+        /// The newest ballot.
+        ballot: Ballot,
+    },
     /// On [`Message::Prepare`]: the weights are loaded.
     Prepared {
         /// The sender.
--- a/crates/bw-expert/src/switch/coordinator.rs
+++ b/crates/bw-expert/src/switch/coordinator.rs
@@ -69,6 +69,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Known {
     incarnation: Incarnation,
+    learned: bool,
     state: EngineState,
 }
 
@@ -91,10 +92,12 @@
 }
 
 impl Coordinator {
-    /// A new life for a group of `ranks`; `nonce` is drawn at random.
-    pub fn new(ranks: usize, nonce: u64) -> Self {
+    /// A new life for a group of `ranks`, whose own engine stands at `step`; `nonce` is drawn at
+    /// random. Lives that begin at a later step have a higher ballot even when no rank remembers
+    /// the earlier ones.
+    pub fn new(ranks: usize, step: u64, nonce: u64) -> Self {
         Self {
-            ballot: Ballot { number: 1, nonce },
+            ballot: Ballot { number: step + 1, nonce },
             ranks: vec![None; ranks],
             phase: Phase::Collecting,
             number: 0,
@@ -111,12 +114,7 @@
 
     /// The highest step that a rank has reported as its next one.
     pub fn step(&self) -> u64 {
-        self.ranks
-            .iter()
-            .flatten()
-            .map(|known| known.state.step)
-            .max()
-            .unwrap_or(0)
+        self.ranks.iter().flatten().map(|known| known.state.step).max().unwrap_or(0)
     }
 
     /// Takes the events since the last call.
@@ -131,10 +129,7 @@
         }
         self.newest = MapVersion(self.newest.0 + 1);
         map.version = self.newest;
-        self.phase = Phase::Preparing {
-            map,
-            ready: BTreeSet::new(),
-        };
+        self.phase = Phase::Preparing { map, ready: BTreeSet::new() };
         Some(self.newest)
     }
 
@@ -147,16 +142,10 @@
             return Vec::new();
         }
         let step = step.max(self.floor + 1);
-        let hold = Hold {
-            version: map.version,
-            step,
-        };
+        let hold = Hold { version: map.version, step };
         self.floor = step;
         self.number += 1;
-        self.phase = Phase::Proposing {
-            hold,
-            accepted: BTreeSet::new(),
-        };
+        self.phase = Phase::Proposing { hold, accepted: BTreeSet::new() };
         self.resend()
     }
 
@@ -165,11 +154,7 @@
         match self.phase.clone() {
             Phase::Preparing { map, .. } => {
                 self.phase = Phase::Idle;
-                self.to_all(|ballot, to| Message::Discard {
-                    ballot,
-                    to,
-                    version: map.version,
-                })
+                self.to_all(|ballot, to| Message::Discard { ballot, to, version: map.version })
             }
             Phase::Proposing { hold, .. } => self.decide(hold, false),
             _ => Vec::new(),
@@ -179,9 +164,7 @@
     /// Messages that have no answer yet. Sent at the start and on each tick.
     pub fn resend(&self) -> Outbox {
         let waiting = |done: &BTreeSet<u32>| {
-            (0..self.ranks.len() as u32)
-                .filter(|rank| !done.contains(rank))
-                .collect::<Vec<u32>>()
+            (0..self.ranks.len() as u32).filter(|rank| !done.contains(rank)).collect::<Vec<u32>>()
         };
         let ballot = self.ballot;
         let collect = |rank: u32| (rank, Message::Collect { ballot });
@@ -189,40 +172,25 @@
             Phase::Idle | Phase::Deposed => Vec::new(),
             Phase::Collecting => {
                 let unknown = (0..self.ranks.len()).filter(|rank| self.ranks[*rank].is_none());
-                unknown.map(|rank| collect(rank as u32)).collect()
-            }
-            Phase::Preparing { map, ready } => {
-                self.to_some(&waiting(ready), |to| Message::Prepare {
-                    ballot,
-                    to,
-                    map: map.clone(),
-                })
+                let mut outbox: Outbox = unknown.map(|rank| collect(rank as u32)).collect();
+                if outbox.is_empty() {
+                    outbox = self.adopt_unlearned();
+                }
+                outbox
             }
+            Phase::Preparing { map, ready } => self
+                .to_some(&waiting(ready), |to| Message::Prepare { ballot, to, map: map.clone() }),
             Phase::Proposing { hold, accepted } => {
                 let (number, hold) = (self.number, *hold);
-                self.to_some(&waiting(accepted), |to| Message::Propose {
-                    ballot,
-                    to,
-                    number,
-                    hold,
-                })
+                self.to_some(&waiting(accepted), |to| Message::Propose { ballot, to, number, hold })
             }
-            Phase::Deciding {
-                hold,
-                commit,
-                settled,
-            } => {
+            Phase::Deciding { hold, commit, settled } => {
                 let (number, hold, commit) = (self.number, *hold, *commit);
                 self.to_some(&waiting(settled), |to| {
                     if commit {
                         Message::Commit { ballot, to, hold }
                     } else {
-                        Message::Abort {
-                            ballot,
-                            to,
-                            number,
-                            hold,
-                        }
+                        Message::Abort { ballot, to, number, hold }
                     }
                 })
             }
@@ -232,48 +200,33 @@
     /// Takes a message of a rank.
     pub fn handle(&mut self, message: &Message) -> Outbox {
         match message {
-            Message::Report {
-                rank,
-                incarnation,
-                ballot,
-                state,
-            } => self.take_report(*rank, *incarnation, *ballot, state),
-            Message::Prepared {
-                rank,
-                incarnation,
-                version,
-            } => {
+            Message::Report { rank, incarnation, ballot, learned, state } => {
+                let known =
+                    Known { incarnation: *incarnation, learned: *learned, state: state.clone() };
+                self.take_report(*rank, *ballot, known)
+            }
+            Message::Prepared { rank, incarnation, version } => {
                 if self.is_current(*rank, *incarnation) {
                     self.take_prepared(*rank, *version);
                 }
                 Vec::new()
             }
-            Message::Accept {
-                rank,
-                incarnation,
-                ballot,
-                number,
-            } => {
+            Message::Accept { rank, incarnation, ballot, number } => {
                 let current = *ballot == self.ballot && *number == self.number;
                 if current && self.is_current(*rank, *incarnation) {
                     return self.take_accept(*rank);
                 }
                 Vec::new()
             }
-            Message::Settled {
-                rank, ballot, hold, ..
-            } => {
+            Message::Settled { rank, ballot, hold, .. } => {
                 if *ballot == self.ballot {
                     self.take_settled(*rank, *hold);
                 }
                 Vec::new()
             }
-            Message::Refuse {
-                rank,
-                ballot,
-                reason,
-                ..
-            } if *ballot == self.ballot => self.take_refusal(*rank, *reason),
+            Message::Refuse { rank, ballot, reason, .. } if *ballot == self.ballot => {
+                self.take_refusal(*rank, *reason)
+            }
             Message::Blocked { rank, hold } => self.take_blocked(*rank, *hold),
             _ => Vec::new(),
         }
@@ -288,32 +241,18 @@
         Vec::new()
     }
 
-    fn take_report(
-        &mut self,
-        rank: u32,
-        incarnation: Incarnation,
-        ballot: Ballot,
-        state: &EngineState,
-    ) -> Outbox {
+    fn take_report(&mut self, rank: u32, ballot: Ballot, known: Known) -> Outbox {
         if rank as usize >= self.ranks.len() || ballot < self.ballot {
             return Vec::new();
         }
         if ballot > self.ballot {
             return self.outbid(ballot);
         }
-        let steps = [state.hold, state.scheduled].into_iter().flatten();
-        self.floor = steps
-            .clone()
-            .map(|hold| hold.step)
-            .fold(self.floor, u64::max);
-        let versions = steps
-            .map(|hold| hold.version)
-            .chain(state.loaded.iter().copied());
+        let state = &known.state;
+        let holds = [state.hold, state.scheduled].into_iter().flatten();
+        self.floor = holds.clone().map(|hold| hold.step).fold(self.floor, u64::max);
+        let versions = holds.map(|hold| hold.version).chain(state.loaded.iter().copied());
         self.newest = versions.fold(self.newest.max(state.map), MapVersion::max);
-        let known = Known {
-            incarnation,
-            state: state.clone(),
-        };
         self.ranks[rank as usize] = Some(known);
         match self.phase.clone() {
             Phase::Collecting => self.finish_collecting(),
@@ -337,6 +276,9 @@
         if self.ranks.iter().any(Option::is_none) {
             return Vec::new();
         }
+        if self.unlearned().next().is_some() {
+            return self.adopt_unlearned();
+        }
         self.events.push(Event::Collected);
         let states = || self.ranks.iter().flatten().map(|known| &known.state);
         let Some(hold) = states().find_map(|state| state.hold) else {
@@ -347,21 +289,27 @@
         self.decide(hold, commit)
     }
 
+    /// Ranks that have reported and do not know the newest ballot.
+    fn unlearned(&self) -> impl Iterator<Item = u32> + '_ {
+        let pairs = (0u32..).zip(&self.ranks);
+        pairs.filter(|(_, known)| known.as_ref().is_some_and(|k| !k.learned)).map(|(rank, _)| rank)
+    }
+
+    /// Every rank has reported to this ballot, so none can obey a newer one. Only a coordinator
+    /// that is still collecting may say so: an old life that decided long ago may not.
+    fn adopt_unlearned(&self) -> Outbox {
+        let ranks: Vec<u32> = self.unlearned().collect();
+        let ballot = self.ballot;
+        self.to_some(&ranks, |to| Message::Adopt { ballot, to })
+    }
+
     fn resume_deciding(&mut self, rank: u32, hold: Hold, commit: bool) -> Outbox {
         let Some(known) = &self.ranks[rank as usize] else {
             return Vec::new();
         };
         let (ballot, to, number) = (self.ballot, known.incarnation, self.number);
         if !commit {
-            return vec![(
-                rank,
-                Message::Abort {
-                    ballot,
-                    to,
-                    number,
-                    hold,
-                },
-            )];
+            return vec![(rank, Message::Abort { ballot, to, number, hold })];
         }
         if known.state.scheduled == Some(hold) {
             self.take_settled(rank, hold);
@@ -394,12 +342,7 @@
 
     fn take_settled(&mut self, rank: u32, verdict: Hold) {
         let ranks = self.ranks.len();
-        let Phase::Deciding {
-            hold,
-            commit,
-            settled,
-        } = &mut self.phase
-        else {
+        let Phase::Deciding { hold, commit, settled } = &mut self.phase else {
             return;
         };
         if *hold != verdict {
@@ -407,10 +350,7 @@
         }
         settled.insert(rank);
         if settled.len() == ranks {
-            let event = Event::Settled {
-                hold: *hold,
-                commit: *commit,
-            };
+            let event = Event::Settled { hold: *hold, commit: *commit };
             self.phase = Phase::Idle;
             self.events.push(event);
         }
@@ -436,27 +376,15 @@
     /// A rank with a new life obeys nobody until it is collected again.
     fn collect_again(&self, rank: u32, reason: Reason) -> Outbox {
         match reason {
-            Reason::OtherIncarnation | Reason::OtherBallot(_) => {
-                vec![(
-                    rank,
-                    Message::Collect {
-                        ballot: self.ballot,
-                    },
-                )]
+            Reason::OtherIncarnation | Reason::OtherBallot(_) | Reason::Unlearned => {
+                vec![(rank, Message::Collect { ballot: self.ballot })]
             }
             _ => Vec::new(),
         }
     }
 
     fn take_blocked(&mut self, rank: u32, asked: Hold) -> Outbox {
-        let collect = || {
-            vec![(
-                rank,
-                Message::Collect {
-                    ballot: self.ballot,
-                },
-            )]
-        };
+        let collect = || vec![(rank, Message::Collect { ballot: self.ballot })];
         match &self.phase {
             Phase::Deciding { hold, settled, .. } if *hold == asked => {
                 if settled.contains(&rank) {
@@ -471,11 +399,7 @@
     }
 
     fn decide(&mut self, hold: Hold, commit: bool) -> Outbox {
-        self.phase = Phase::Deciding {
-            hold,
-            commit,
-            settled: BTreeSet::new(),
-        };
+        self.phase = Phase::Deciding { hold, commit, settled: BTreeSet::new() };
         self.resend()
     }
 
--- a/crates/bw-expert/src/switch/rank.rs
+++ b/crates/bw-expert/src/switch/rank.rs
@@ -20,24 +20,30 @@
     pub failed: Option<Message>,
 }
 
-/// One life of the agent of one rank. Its promises live in the engine, so it starts empty.
+/// One life of the agent of one rank.
+///
+/// Its promises live in the engine. The ballot it obeyed is lost with the life, so a new life
+/// follows nobody until it has learned the newest ballot from a rank that knows it, or until a
+/// coordinator to which every rank has reported says so.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Rank {
     rank: u32,
     incarnation: Incarnation,
     ballot: Ballot,
+    learned: bool,
     settled: u64,
 }
 
 impl Rank {
-    /// A new life; it obeys nobody until a coordinator collects it.
+    /// A new life.
     pub fn new(rank: u32, incarnation: Incarnation) -> Self {
-        Self {
-            rank,
-            incarnation,
-            ballot: Ballot::default(),
-            settled: 0,
-        }
+        Self { rank, incarnation, ballot: Ballot::default(), learned: false, settled: 0 }
+    }
+
+    /// The question to the other ranks while the newest ballot is not known.
+    pub fn question(&self) -> Option<Message> {
+        let question = Message::Learn { rank: self.rank, incarnation: self.incarnation };
+        (!self.learned).then_some(question)
     }
 
     /// This life.
@@ -49,6 +55,9 @@
     pub fn handle(&mut self, message: &Message, engine: &EngineState) -> Action {
         match message {
             Message::Collect { ballot } => self.collect(*ballot, engine),
+            Message::Adopt { ballot, to } => self.adopt(*ballot, *to, engine),
+            Message::Learn { incarnation, .. } => self.tell(*incarnation),
+            Message::Known { to, ballot } => self.learn(*to, *ballot),
             Message::Prepare { ballot, to, map } => {
                 let prepared = self.prepared(map.version);
                 if engine.loaded.contains(&map.version) {
@@ -57,30 +66,16 @@
                 let order = EngineOrder::Load(map.clone());
                 self.guarded(*ballot, *to, |rank| rank.order(order, prepared, *ballot))
             }
-            Message::Propose {
-                ballot,
-                to,
-                number,
-                hold,
-            } => self.guarded(*ballot, *to, |rank| {
-                rank.propose(*ballot, *number, *hold, engine)
-            }),
+            Message::Propose { ballot, to, number, hold } => {
+                self.guarded(*ballot, *to, |rank| rank.propose(*ballot, *number, *hold, engine))
+            }
             Message::Commit { ballot, to, hold } => {
                 self.guarded(*ballot, *to, |rank| rank.commit(*ballot, *hold, engine))
             }
-            Message::Abort {
-                ballot,
-                to,
-                number,
-                hold,
-            } => self.guarded(*ballot, *to, |rank| {
-                rank.abort(*ballot, *number, *hold, engine)
-            }),
-            Message::Discard {
-                ballot,
-                to,
-                version,
-            } => {
+            Message::Abort { ballot, to, number, hold } => {
+                self.guarded(*ballot, *to, |rank| rank.abort(*ballot, *number, *hold, engine))
+            }
+            Message::Discard { ballot, to, version } => {
                 let order = EngineOrder::Discard(*version);
                 self.guarded(*ballot, *to, |_| Action {
                     order: Some(order),
@@ -97,10 +92,7 @@
     /// The question to ask when the engine waits at a held step.
     pub fn blocked(&self, engine: &EngineState) -> Option<Message> {
         let hold = engine.hold.filter(|hold| engine.step >= hold.step)?;
-        Some(Message::Blocked {
-            rank: self.rank,
-            hold,
-        })
+        Some(Message::Blocked { rank: self.rank, hold })
     }
 
     fn collect(&mut self, ballot: Ballot, engine: &EngineState) -> Action {
@@ -108,21 +100,49 @@
             self.ballot = ballot;
             self.settled = 0;
         }
-        Action::answer(Message::Report {
+        Action::answer(self.report(engine))
+    }
+
+    fn report(&self, engine: &EngineState) -> Message {
+        Message::Report {
             rank: self.rank,
             incarnation: self.incarnation,
             ballot: self.ballot,
+            learned: self.learned,
             state: engine.clone(),
-        })
+        }
+    }
+
+    fn adopt(&mut self, ballot: Ballot, to: Incarnation, engine: &EngineState) -> Action {
+        if to != self.incarnation {
+            return self.refuse(ballot, Reason::OtherIncarnation);
+        }
+        if ballot != self.ballot {
+            return self.refuse(ballot, Reason::OtherBallot(self.ballot));
+        }
+        self.learned = true;
+        Action::answer(self.report(engine))
+    }
+
+    fn tell(&self, to: Incarnation) -> Action {
+        let known = Message::Known { to, ballot: self.ballot };
+        Action { order: None, done: self.learned.then_some(known), failed: None }
+    }
+
+    fn learn(&mut self, to: Incarnation, ballot: Ballot) -> Action {
+        if to == self.incarnation && !self.learned {
+            self.learned = true;
+            if ballot > self.ballot {
+                self.ballot = ballot;
+                self.settled = 0;
+            }
+        }
+        Action::nothing()
     }
 
     fn propose(&mut self, ballot: Ballot, number: u64, hold: Hold, engine: &EngineState) -> Action {
-        let accept = Message::Accept {
-            rank: self.rank,
-            incarnation: self.incarnation,
-            ballot,
-            number,
-        };
+        let accept =
+            Message::Accept { rank: self.rank, incarnation: self.incarnation, ballot, number };
         if number <= self.settled {
             return self.refuse(ballot, Reason::Settled);
         }
@@ -164,7 +184,7 @@
         Action::answer(settled)
     }
 
-    /// Runs `follow` when the message is for this life and from the ballot it obeys.
+    /// Runs `follow` when the message is for this life and from the newest ballot.
     fn guarded<F>(&mut self, ballot: Ballot, to: Incarnation, follow: F) -> Action
     where
         F: FnOnce(&mut Self) -> Action,
@@ -175,69 +195,44 @@
         if ballot != self.ballot {
             return self.refuse(ballot, Reason::OtherBallot(self.ballot));
         }
+        if !self.learned {
+            return self.refuse(ballot, Reason::Unlearned);
+        }
         follow(self)
     }
 
     fn order(&self, order: EngineOrder, done: Message, ballot: Ballot) -> Action {
         let failed = self.refuse(ballot, Reason::Late).done;
-        Action {
-            order: Some(order),
-            done: Some(done),
-            failed,
-        }
+        Action { order: Some(order), done: Some(done), failed }
     }
 
     fn refuse(&self, ballot: Ballot, reason: Reason) -> Action {
         let (rank, incarnation) = (self.rank, self.incarnation);
-        Action::answer(Message::Refuse {
-            rank,
-            incarnation,
-            ballot,
-            reason,
-        })
+        Action::answer(Message::Refuse { rank, incarnation, ballot, reason })
     }
 
     fn prepared(&self, version: bw_model::MapVersion) -> Message {
-        Message::Prepared {
-            rank: self.rank,
-            incarnation: self.incarnation,
-            version,
-        }
+        Message::Prepared { rank: self.rank, incarnation: self.incarnation, version }
     }
 
     fn settled_message(&self, ballot: Ballot, hold: Hold) -> Message {
-        Message::Settled {
-            rank: self.rank,
-            incarnation: self.incarnation,
-            ballot,
-            hold,
-        }
+        Message::Settled { rank: self.rank, incarnation: self.incarnation, ballot, hold }
     }
 }
 
 impl Action {
     fn answer(message: Message) -> Self {
-        Self {
-            order: None,
-            done: Some(message),
-            failed: None,
-        }
+        Self { order: None, done: Some(message), failed: None }
     }
 
     fn nothing() -> Self {
-        Self {
-            order: None,
-            done: None,
-            failed: None,
-        }
+        Self { order: None, done: None, failed: None }
     }
 }
 
 /// Whether a decided switch has not happened yet.
 fn has_pending(engine: &EngineState) -> bool {
-    engine
-        .scheduled
-        .is_some_and(|hold| engine.step <= hold.step && engine.map != hold.version)
+    engine.scheduled.is_some_and(|hold| engine.step <= hold.step && engine.map != hold.version)
 }
 
 /// Answers another rank from what the own engine shows; a decided switch is decided for all.
@@ -251,9 +246,5 @@
 
 fn committed(hold: Hold, engine: &EngineState) -> Action {
     let order = (engine.hold == Some(hold)).then_some(EngineOrder::Schedule(hold));
-    Action {
-        order,
-        done: None,
-        failed: None,
-    }
+    Action { order, done: None, failed: None }
 }
--- a/crates/bw-fake/src/control.rs
+++ b/crates/bw-fake/src/control.rs
@@ -86,10 +86,7 @@
     async fn set_group(&self, mut request: Request) -> Result<Response> {
         let name: String = request.param("name")?;
         let Some(group) = self.groups.get(&name) else {
-            return Ok(text_reply(
-                StatusCode::NOT_FOUND,
-                format!("no group {name}"),
-            ));
+            return Ok(text_reply(StatusCode::NOT_FOUND, format!("no group {name}")));
         };
         let body = read_body(request.incoming()?, BODY_BYTES_MAX, BODY_LIMIT).await;
         let parsed = body.map_err(|error| error.to_string()).and_then(|body| {
@@ -109,11 +106,8 @@
     }
 
     fn counters(&self) -> Response {
-        let groups: BTreeMap<&String, _> = self
-            .groups
-            .iter()
-            .map(|(name, group)| (name, group.counters()))
-            .collect();
+        let groups: BTreeMap<&String, _> =
+            self.groups.iter().map(|(name, group)| (name, group.counters())).collect();
         let counters = json!({
             "calls": self.platform.calls(),
             "groups": groups,
--- a/crates/bw-fake/src/engine/api.rs
+++ b/crates/bw-fake/src/engine/api.rs
@@ -78,10 +78,7 @@
         let runs = runs.clone();
         async move { complete(&group, &runs, request).await }
     };
-    router
-        .get("/load", load)
-        .get("/experts/demand", demand)
-        .post("/v1/chat/completions", chat)
+    router.get("/load", load).get("/experts/demand", demand).post("/v1/chat/completions", chat)
 }
 
 fn health_reply(group: &Group) -> Response {
@@ -120,10 +117,7 @@
         // A process that died has no answer to give: the connection is cut.
         return Ok(cut_off());
     };
-    let id = format!(
-        "chatcmpl-{:016x}",
-        bw_model::hash::fingerprint("id", "", prompt.as_bytes())
-    );
+    let id = format!("chatcmpl-{:016x}", bw_model::hash::fingerprint("id", "", prompt.as_bytes()));
     if chat.stream {
         Ok(stream_answer(id, chat, tokens))
     } else {
@@ -147,10 +141,7 @@
     if count < chat.max_tokens {
         return cut_off();
     }
-    json_reply(
-        StatusCode::OK,
-        &whole_answer(&id, &chat, content.trim_end()),
-    )
+    json_reply(StatusCode::OK, &whole_answer(&id, &chat, content.trim_end()))
 }
 
 fn stream_answer(id: String, chat: ChatRequest, tokens: Tokens) -> Response {
@@ -175,8 +166,6 @@
     });
     let mut response = Response::stream(events.boxed());
     let kind = viz::header::HeaderValue::from_static("text/event-stream");
-    response
-        .headers_mut()
-        .insert(viz::header::CONTENT_TYPE, kind);
+    response.headers_mut().insert(viz::header::CONTENT_TYPE, kind);
     response
 }
--- a/crates/bw-fake/src/engine/cache.rs
+++ b/crates/bw-fake/src/engine/cache.rs
@@ -18,29 +18,19 @@
 impl Cache {
     /// A cache of at most `limit` blocks.
     pub fn new(limit: usize) -> Self {
-        Self {
-            limit,
-            ..Self::default()
-        }
+        Self { limit, ..Self::default() }
     }
 
     /// Caches a prompt's blocks and returns how many of them had to be computed.
     pub fn admit(&mut self, prompt: &[u8]) -> usize {
         self.clock += 1;
         let blocks = prefix_blocks(prompt, BLOCK_BYTES);
-        let hits = blocks
-            .iter()
-            .take_while(|block| self.blocks.contains_key(block))
-            .count();
+        let hits = blocks.iter().take_while(|block| self.blocks.contains_key(block)).count();
         for block in &blocks {
             self.blocks.insert(*block, self.clock);
         }
         while self.blocks.len() > self.limit {
-            let oldest = self
-                .blocks
-                .iter()
-                .min_by_key(|(_, used)| **used)
-                .map(|(block, _)| *block);
+            let oldest = self.blocks.iter().min_by_key(|(_, used)| **used).map(|(block, _)| *block);
             match oldest {
                 Some(block) => self.blocks.remove(&block),
                 None => break,
--- a/crates/bw-fake/src/engine/chat.rs
+++ b/crates/bw-fake/src/engine/chat.rs
@@ -49,9 +49,8 @@
         if self.continue_final_message {
             messages = &messages[..messages.len().saturating_sub(1)];
         }
-        let lines = messages
-            .iter()
-            .map(|message| format!("{}: {}\n", message.role, message.content));
+        let lines =
+            messages.iter().map(|message| format!("{}: {}\n", message.role, message.content));
         lines.collect()
     }
 
--- a/crates/bw-fake/src/engine/group.rs
+++ b/crates/bw-fake/src/engine/group.rs
@@ -143,11 +143,7 @@
             mixed_steps: 0,
             random: ChaCha8Rng::seed_from_u64(settings.seed),
         };
-        Self {
-            settings,
-            weights,
-            state: Arc::new(Mutex::new(state)),
-        }
+        Self { settings, weights, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Runs steps for ever.
@@ -173,17 +169,8 @@
         let prefill = state.cache.admit(prompt.as_bytes()) / PREFILL_BLOCKS;
         let next = request.done();
         let total = next + request.max_tokens;
-        let running = Running {
-            prompt,
-            next,
-            total,
-            prefill,
-            tokens: sender,
-        };
-        let behind = state
-            .queue
-            .iter()
-            .position(|(priority, _)| *priority > request.priority);
+        let running = Running { prompt, next, total, prefill, tokens: sender };
+        let behind = state.queue.iter().position(|(priority, _)| *priority > request.priority);
         let place = behind.unwrap_or(state.queue.len());
         state.queue.insert(place, (request.priority, running));
         Some(tokens)
@@ -223,21 +210,14 @@
     pub fn map(&self, rank: usize) -> Option<ExpertMap> {
         let state = self.lock();
         let rank = state.ranks.get(rank)?;
-        rank.loaded
-            .iter()
-            .find(|map| map.version == rank.map)
-            .cloned()
+        rank.loaded.iter().find(|map| map.version == rank.map).cloned()
     }
 
     /// Counters.
     pub fn counters(&self) -> GroupCounters {
         let state = self.lock();
         let map = state.ranks.first().map_or(0, |rank| rank.map.0);
-        GroupCounters {
-            steps: state.step,
-            mixed: state.mixed_steps,
-            map,
-        }
+        GroupCounters { steps: state.step, mixed: state.mixed_steps, map }
     }
 
     /// State of a rank.
@@ -298,21 +278,14 @@
         let present = self.map(rank);
         let moves = present.map_or(0, |present| {
             let moves = present.moves_to(&map);
-            moves
-                .iter()
-                .filter(|one| usize::from(one.rank) == rank)
-                .count()
+            moves.iter().filter(|one| usize::from(one.rank) == rank).count()
         });
         self.weights.read(moves).await;
         let mut state = self.lock();
         let Some(found) = state.ranks.get_mut(rank) else {
             return false;
         };
-        if !found
-            .loaded
-            .iter()
-            .any(|loaded| loaded.version == map.version)
-        {
+        if !found.loaded.iter().any(|loaded| loaded.version == map.version) {
             found.loaded.push(map);
         }
         true
@@ -339,9 +312,7 @@
     }
 
     fn step(&mut self, settings: &GroupSettings) {
-        let stalled = self
-            .stalled_until
-            .is_some_and(|until| until > Instant::now());
+        let stalled = self.stalled_until.is_some_and(|until| until > Instant::now());
         if self.is_dead() || stalled || self.is_held() {
             return;
         }
@@ -350,10 +321,8 @@
         self.advance_batch();
         self.count_demand(settings);
         self.step += 1;
-        let report = LoadReport {
-            running: self.batch.len() as u32,
-            queued: self.queue.len() as u32,
-        };
+        let report =
+            LoadReport { running: self.batch.len() as u32, queued: self.queue.len() as u32 };
         self.load.push_back((Instant::now(), report));
         while self.load.len() > 256 {
             self.load.pop_front();
@@ -362,9 +331,7 @@
 
     /// Lock-step: one rank that may not start keeps all from starting.
     fn is_held(&self) -> bool {
-        self.ranks
-            .iter()
-            .any(|rank| rank.hold.is_some_and(|hold| hold.step <= self.step))
+        self.ranks.iter().any(|rank| rank.hold.is_some_and(|hold| hold.step <= self.step))
     }
 
     fn switch_maps(&mut self) {
--- a/crates/bw-fake/src/main.rs
+++ b/crates/bw-fake/src/main.rs
@@ -50,11 +50,7 @@
     let ini = read_ini(path)?;
     let file = path.display().to_string();
     let settings = Settings::try_from((file.as_str(), &ini)).map_err(|e| e.to_string())?;
-    let files: Vec<IniFile> = settings
-        .files
-        .iter()
-        .map(read_ini)
-        .collect::<Result<_, _>>()?;
+    let files: Vec<IniFile> = settings.files.iter().map(read_ini).collect::<Result<_, _>>()?;
     let mut kernel = Kernel::new();
     let platform = Platform::new(settings.rate);
     let runs = Runs::default();
@@ -64,23 +60,11 @@
             bw_conf::build_fleet(Version(1), &files).map_err(|faults| faults.to_string())?;
         let weights = Weights::new(settings.weights);
         for (_, endpoint) in fleet.endpoints.iter() {
-            start_endpoint(
-                &mut kernel,
-                &settings,
-                &fleet,
-                endpoint,
-                &weights,
-                &runs,
-                &mut groups,
-            )
-            .await?;
+            start_endpoint(&mut kernel, &settings, &fleet, endpoint, &weights, &runs, &mut groups)
+                .await?;
         }
     }
-    let control = Control {
-        platform: platform.clone(),
-        groups,
-        runs,
-    };
+    let control = Control { platform: platform.clone(), groups, runs };
     let health = Router::new().get("/healthz", |_| async { Ok("ok") });
     let routes = join_routes(platform.routes(), [control.routes(), health]);
     start_server(&mut kernel, "platform", settings.listen, routes).await?;
@@ -133,9 +117,7 @@
     address: std::net::SocketAddr,
     routes: Router,
 ) -> Result<(), String> {
-    let listener = bw_http::bind(address)
-        .await
-        .map_err(|error| error.to_string())?;
+    let listener = bw_http::bind(address).await.map_err(|error| error.to_string())?;
     kernel.start(name, |stop| bw_http::serve(listener, routes, stop));
     Ok(())
 }
@@ -144,9 +126,7 @@
 where
     I: IntoIterator<Item = Router>,
 {
-    others
-        .into_iter()
-        .fold(first, |joined, other| joined.nest("/", other))
+    others.into_iter().fold(first, |joined, other| joined.nest("/", other))
 }
 
 fn read_ini(path: &PathBuf) -> Result<IniFile, String> {
--- a/crates/bw-fake/src/platform.rs
+++ b/crates/bw-fake/src/platform.rs
@@ -146,19 +146,13 @@
             tokio::time::sleep(Duration::from_millis(faults.slow)).await;
         }
         if faults.down {
-            return Some(text_reply(
-                StatusCode::SERVICE_UNAVAILABLE,
-                "outage".to_string(),
-            ));
+            return Some(text_reply(StatusCode::SERVICE_UNAVAILABLE, "outage".to_string()));
         }
         let now = self.start.elapsed();
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
         if budget.take(Purpose::Lease, now).is_err() {
             self.lock().calls.limited += 1;
-            return Some(text_reply(
-                StatusCode::TOO_MANY_REQUESTS,
-                "rate limit".to_string(),
-            ));
+            return Some(text_reply(StatusCode::TOO_MANY_REQUESTS, "rate limit".to_string()));
         }
         None
     }
@@ -184,16 +178,9 @@
             return Ok(refused);
         }
         let objects = self.lock();
-        let items: Vec<&Object> = objects
-            .objects
-            .iter()
-            .filter(|((k, _), _)| *k == kind)
-            .map(|(_, o)| o)
-            .collect();
-        Ok(json_reply(
-            StatusCode::OK,
-            &serde_json::json!({ "items": items }),
-        ))
+        let items: Vec<&Object> =
+            objects.objects.iter().filter(|((k, _), _)| *k == kind).map(|(_, o)| o).collect();
+        Ok(json_reply(StatusCode::OK, &serde_json::json!({ "items": items })))
     }
 
     async fn watch(&self, kind: String, query: &str) -> Result<Response> {
@@ -202,25 +189,16 @@
         }
         let field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs
-                .filter(|(key, _)| *key == name)
-                .map(|(_, value)| value.to_string())
-                .next()
+            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_string()).next()
         };
-        let name = field("fieldSelector")
-            .unwrap_or_default()
-            .replace("metadata.name%3D", "");
+        let name = field("fieldSelector").unwrap_or_default().replace("metadata.name%3D", "");
         let after = field("resourceVersion").unwrap_or_default();
-        let seconds: u64 = field("timeoutSeconds")
-            .and_then(|v| v.parse().ok())
-            .unwrap_or(30);
+        let seconds: u64 = field("timeoutSeconds").and_then(|v| v.parse().ok()).unwrap_or(30);
         let api = self.clone();
         let wait = Duration::from_secs(seconds);
         let line = async move {
             let event = tokio::time::timeout(wait, api.next_change((kind, name), after)).await;
-            let text = event
-                .ok()
-                .and_then(|event| serde_json::to_string(&event).ok());
+            let text = event.ok().and_then(|event| serde_json::to_string(&event).ok());
             Ok::<_, std::io::Error>(text.map_or(String::new(), |text| text + "\n"))
         };
         Ok(Response::stream(futures::stream::once(line)))
@@ -232,10 +210,7 @@
             let object = self.lock().objects.get(&id).cloned();
             if let Some(object) = object.filter(|object| object.metadata.version != after) {
                 if !self.lock().faults.down {
-                    return WatchEvent {
-                        change: "MODIFIED".to_string(),
-                        object,
-                    };
+                    return WatchEvent { change: "MODIFIED".to_string(), object };
                 }
             }
             if changed.changed().await.is_err() {
@@ -274,10 +249,7 @@
     fn put(&self, mut object: Object, condition: Condition) -> Option<Object> {
         let mut objects = self.lock();
         let id = (object.kind.clone(), object.metadata.name.clone());
-        let present = objects
-            .objects
-            .get(&id)
-            .map(|present| present.metadata.version.clone());
+        let present = objects.objects.get(&id).map(|present| present.metadata.version.clone());
         let holds = match condition {
             Condition::Absent => present.is_none(),
             Condition::Version(expected) => present == Some(expected),
--- a/crates/bw-fake/src/service.rs
+++ b/crates/bw-fake/src/service.rs
@@ -37,10 +37,7 @@
 
     /// Runs by the text of the request.
     pub fn counts(&self) -> BTreeMap<String, u32> {
-        self.counts
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
@@ -55,11 +52,7 @@
 impl Service {
     /// The instance `name`, whose calls take `time`.
     pub fn new(name: &str, time: Duration, runs: Runs) -> Self {
-        Self {
-            name: name.to_string(),
-            time,
-            runs,
-        }
+        Self { name: name.to_string(), time, runs }
     }
 
     /// Routes of the service.
@@ -69,9 +62,7 @@
             let service = service.clone();
             async move { service.call(request).await }
         };
-        Router::new()
-            .get("/health", |_| async { Ok("ok") })
-            .any("/*", call)
+        Router::new().get("/health", |_| async { Ok("ok") }).any("/*", call)
     }
 
     async fn call(&self, mut request: Request) -> Result<Response> {
--- a/crates/bw-fake/src/settings.rs
+++ b/crates/bw-fake/src/settings.rs
@@ -40,20 +40,11 @@
         let raw = settings_section(file, ini, "fake");
         let mut section = Section::new(&raw);
         let listen = section.required("listen", "an address such as 127.0.0.1:6443", &mut faults);
-        let files = section
-            .list("fleet")
-            .into_iter()
-            .map(PathBuf::from)
-            .collect();
+        let files = section.list("fleet").into_iter().map(PathBuf::from).collect();
         let settings = listen.map(|listen| Settings {
             listen,
             files,
-            rate: section.ranged(
-                "platform-calls-per-second",
-                (1.0, 1e6),
-                2_000.0,
-                &mut faults,
-            ),
+            rate: section.ranged("platform-calls-per-second", (1.0, 1e6), 2_000.0, &mut faults),
             lag: section.millis("list-lag-ms", (0, 600_000), 5_000, &mut faults),
             step: section.millis("step-ms", (1, 60_000), 6, &mut faults),
             service: section.millis("service-ms", (0, 60_000), 20, &mut faults),
--- a/crates/bw-fake/src/weights.rs
+++ b/crates/bw-fake/src/weights.rs
@@ -19,10 +19,7 @@
 impl Weights {
     /// A store that gives `rate` bytes a second.
     pub fn new(rate: f64) -> Self {
-        Self {
-            rate,
-            turn: Arc::default(),
-        }
+        Self { rate, turn: Arc::default() }
     }
 
     /// Reads the weights of `experts` experts; takes as long as the rate demands.
--- a/crates/bw-http/src/client.rs
+++ b/crates/bw-http/src/client.rs
@@ -132,14 +132,9 @@
             let status = response.status().as_u16();
             let collected = response.into_body().collect().await;
             let body = collected.map_err(|error| ClientError::Broken(error.to_string()))?;
-            Ok(Reply {
-                status,
-                body: body.to_bytes(),
-            })
+            Ok(Reply { status, body: body.to_bytes() })
         };
-        timeout(limit, exchange)
-            .await
-            .unwrap_or(Err(ClientError::Timeout(limit)))
+        timeout(limit, exchange).await.unwrap_or(Err(ClientError::Timeout(limit)))
     }
 
     /// Reads `url`.
--- a/crates/bw-http/src/reply.rs
+++ b/crates/bw-http/src/reply.rs
@@ -13,10 +13,7 @@
 {
     let (status, text) = match serde_json::to_string(value) {
         Ok(text) => (status, text),
-        Err(error) => (
-            StatusCode::INTERNAL_SERVER_ERROR,
-            format!("{{\"error\":\"{error}\"}}"),
-        ),
+        Err(error) => (StatusCode::INTERNAL_SERVER_ERROR, format!("{{\"error\":\"{error}\"}}")),
     };
     let mut response = Response::with(http_body_util::Full::from(text), "application/json");
     *response.status_mut() = status;
--- a/crates/bw-http/src/server.rs
+++ b/crates/bw-http/src/server.rs
@@ -41,10 +41,7 @@
     let tree: Arc<Tree> = Arc::new(router.into());
     let graceful = GracefulShutdown::new();
     let mut builder = Builder::new(TokioExecutor::new()).http1_only();
-    builder
-        .http1()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_LIMIT);
+    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
--- a/crates/bw-kernel/src/kernel.rs
+++ b/crates/bw-kernel/src/kernel.rs
@@ -69,11 +69,7 @@
         let future = service(signal);
         let task = tokio::spawn(async move { future.await.map_err(|error| error.to_string()) });
         info!("event=service_started service={name}");
-        self.running.push(Running {
-            name: name.to_string(),
-            stop,
-            task,
-        });
+        self.running.push(Running { name: name.to_string(), stop, task });
     }
 
     /// Runs until SIGTERM, SIGINT or the failure of a service, then stops all in reverse order.
@@ -127,10 +123,7 @@
             error
         }
         Err(_) => {
-            warn!(
-                "event=service_aborted service={name} grace_ms={}",
-                grace.as_millis()
-            );
+            warn!("event=service_aborted service={name} grace_ms={}", grace.as_millis());
             abort.abort();
             None
         }
@@ -142,9 +135,6 @@
     match service.task.await {
         Ok(Ok(())) => None,
         Ok(Err(reason)) => Some(KernelError::Service { name, reason }),
-        Err(error) => Some(KernelError::Service {
-            name,
-            reason: error.to_string(),
-        }),
+        Err(error) => Some(KernelError::Service { name, reason: error.to_string() }),
     }
 }
--- a/crates/bw-kernel/src/metrics.rs
+++ b/crates/bw-kernel/src/metrics.rs
@@ -28,9 +28,7 @@
         labels: &[&str],
     ) -> Result<IntCounterVec, KernelError> {
         let counter = IntCounterVec::new(Opts::new(name, help), labels).map_err(metric_error)?;
-        self.registry
-            .register(Box::new(counter.clone()))
-            .map_err(metric_error)?;
+        self.registry.register(Box::new(counter.clone())).map_err(metric_error)?;
         Ok(counter)
     }
 
@@ -45,9 +43,7 @@
         labels: &[&str],
     ) -> Result<IntGaugeVec, KernelError> {
         let gauge = IntGaugeVec::new(Opts::new(name, help), labels).map_err(metric_error)?;
-        self.registry
-            .register(Box::new(gauge.clone()))
-            .map_err(metric_error)?;
+        self.registry.register(Box::new(gauge.clone())).map_err(metric_error)?;
         Ok(gauge)
     }
 
@@ -66,9 +62,7 @@
         let buckets = prometheus::exponential_buckets(FIRST_SECONDS, 2.0, BUCKETS);
         let options = HistogramOpts::new(name, help).buckets(buckets.map_err(metric_error)?);
         let histogram = HistogramVec::new(options, labels).map_err(metric_error)?;
-        self.registry
-            .register(Box::new(histogram.clone()))
-            .map_err(metric_error)?;
+        self.registry.register(Box::new(histogram.clone())).map_err(metric_error)?;
         Ok(histogram)
     }
 
--- a/crates/bw-kernel/src/registry.rs
+++ b/crates/bw-kernel/src/registry.rs
@@ -37,13 +37,8 @@
     where
         H: Any + Clone,
     {
-        let handle = self
-            .handles
-            .get(name)
-            .ok_or_else(|| KernelError::Absent(name.to_string()))?;
+        let handle = self.handles.get(name).ok_or_else(|| KernelError::Absent(name.to_string()))?;
         let typed = handle.downcast_ref::<H>();
-        typed
-            .cloned()
-            .ok_or_else(|| KernelError::Type(name.to_string()))
+        typed.cloned().ok_or_else(|| KernelError::Type(name.to_string()))
     }
 }
--- a/crates/bw-link/src/call.rs
+++ b/crates/bw-link/src/call.rs
@@ -25,11 +25,7 @@
             // The receiver is gone only when the channel itself is dropped.
             let _ = sender.send(result);
         })?;
-        Ok(Self {
-            context: Context::new(socket)?,
-            aio,
-            results,
-        })
+        Ok(Self { context: Context::new(socket)?, aio, results })
     }
 
     /// Sends one message.
@@ -38,9 +34,7 @@
     /// nng's own.
     pub async fn send(&mut self, body: &[u8]) -> Result<(), nng::Error> {
         let message = Message::from(body);
-        self.context
-            .send(&self.aio, message)
-            .map_err(|(_, error)| error)?;
+        self.context.send(&self.aio, message).map_err(|(_, error)| error)?;
         match self.results.recv().await {
             Some(AioResult::Send(Ok(()))) => Ok(()),
             Some(AioResult::Send(Err((_, error)))) => Err(error),
--- a/crates/bw-link/src/client.rs
+++ b/crates/bw-link/src/client.rs
@@ -36,11 +36,7 @@
     /// [`LinkError::Nng`] when the socket cannot be set up.
     pub fn connect(address: SocketAddr) -> Result<Self, LinkError> {
         let socket = open_socket(address).map_err(|error| LinkError::from_nng(address, error))?;
-        Ok(Self {
-            address,
-            socket,
-            idle: Mutex::new(Vec::new()),
-        })
+        Ok(Self { address, socket, idle: Mutex::new(Vec::new()) })
     }
 
     /// Sends `request` once and waits for its reply.
@@ -65,11 +61,7 @@
     }
 
     fn take_channel(&self) -> Result<Channel, LinkError> {
-        let idle = self
-            .idle
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .pop();
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
         match idle {
             Some(channel) => Ok(channel),
             None => Channel::open(&self.socket)
--- a/crates/bw-link/src/error.rs
+++ b/crates/bw-link/src/error.rs
@@ -39,10 +39,7 @@
             nng::Error::Closed | nng::Error::ConnectionReset | nng::Error::ConnectionShutdown => {
                 Self::Closed(address)
             }
-            other => Self::Nng {
-                address,
-                reason: other.to_string(),
-            },
+            other => Self::Nng { address, reason: other.to_string() },
         }
     }
 }
--- a/crates/bw-link/src/pool.rs
+++ b/crates/bw-link/src/pool.rs
@@ -53,10 +53,7 @@
 
     /// Number of open links.
     pub fn len(&self) -> usize {
-        self.clients
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .len()
+        self.clients.lock().unwrap_or_else(PoisonError::into_inner).len()
     }
 
     /// True when no link is open.
@@ -76,10 +73,7 @@
 
     fn discard(&self, address: SocketAddr, failed: &Arc<Client>, error: &LinkError) {
         let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        if clients
-            .get(&address)
-            .is_some_and(|client| Arc::ptr_eq(client, failed))
-        {
+        if clients.get(&address).is_some_and(|client| Arc::ptr_eq(client, failed)) {
             clients.remove(&address);
             info!("event=link_discarded peer={address} reason=\"{error}\"");
         }
--- a/crates/bw-measure/src/caller.rs
+++ b/crates/bw-measure/src/caller.rs
@@ -81,9 +81,7 @@
             "model": model, "stream": stream, "max_tokens": tokens,
             "messages": [{ "role": "user", "content": prompt }],
         });
-        let reply = self
-            .send("POST", "/v1/chat/completions", &body.to_string(), None)
-            .await;
+        let reply = self.send("POST", "/v1/chat/completions", &body.to_string(), None).await;
         let reply = match reply {
             Ok(reply) => reply,
             Err(error) => return Received::Lost(error.to_string()),
@@ -92,11 +90,7 @@
             let text = String::from_utf8_lossy(&reply.body).into_owned();
             return Received::Lost(format!("status {}: {text}", reply.status));
         }
-        let text = if stream {
-            streamed_text(&reply.body)
-        } else {
-            whole_text(&reply.body)
-        };
+        let text = if stream { streamed_text(&reply.body) } else { whole_text(&reply.body) };
         check_text(text, prompt, tokens)
     }
 
@@ -124,10 +118,7 @@
 
     /// Reads from a service.
     pub async fn read(&mut self, service: &str, path: &str) -> Received {
-        match self
-            .send("GET", &format!("/services/{service}{path}"), "", None)
-            .await
-        {
+        match self.send("GET", &format!("/services/{service}{path}"), "", None).await {
             Ok(reply) if reply.status == 200 => check_echo(&reply.body, ""),
             Ok(reply) => Received::Lost(format!("status {}", reply.status)),
             Err(error) => Received::Lost(error.to_string()),
@@ -184,13 +175,9 @@
         let response = self.client.send(request, LIMIT).await?;
         let status = response.status().as_u16();
         let ran = response.headers().get("x-baobabwind-ran");
-        let ran = ran
-            .and_then(|value| value.to_str().ok())
-            .map(str::to_string);
+        let ran = ran.and_then(|value| value.to_str().ok()).map(str::to_string);
         let collected = response.into_body().collect().await;
-        let body = collected
-            .map_err(|error| ClientError::Broken(error.to_string()))?
-            .to_bytes();
+        let body = collected.map_err(|error| ClientError::Broken(error.to_string()))?.to_bytes();
         Ok(Reply { status, ran, body })
     }
 
@@ -218,10 +205,7 @@
 
 fn whole_text(body: &[u8]) -> Option<String> {
     let value: Value = serde_json::from_slice(body).ok()?;
-    value
-        .pointer("/choices/0/message/content")?
-        .as_str()
-        .map(str::to_string)
+    value.pointer("/choices/0/message/content")?.as_str().map(str::to_string)
 }
 
 /// Text of a stream that is complete, which its last event says.
@@ -236,10 +220,7 @@
             continue;
         }
         let value: Value = serde_json::from_str(data).ok()?;
-        if let Some(piece) = value
-            .pointer("/choices/0/delta/content")
-            .and_then(Value::as_str)
-        {
+        if let Some(piece) = value.pointer("/choices/0/delta/content").and_then(Value::as_str) {
             content.push_str(piece);
         }
     }
@@ -251,9 +232,8 @@
         return Received::Lost("the answer is cut".to_string());
     };
     let full = format!("user: {prompt}\n");
-    let expected: String = (0..tokens)
-        .map(|index| bw_fake::engine::answer_token(&full, index))
-        .collect();
+    let expected: String =
+        (0..tokens).map(|index| bw_fake::engine::answer_token(&full, index)).collect();
     if text.trim_end() == expected.trim_end() {
         Received::Whole
     } else {
--- a/crates/bw-measure/src/commands/path.rs
+++ b/crates/bw-measure/src/commands/path.rs
@@ -68,22 +68,10 @@
             let added = quantile(&mut through, q) - quantile(&mut direct, q);
             print_row(name, &[], format!("{added:.0}"), "us");
         }
-        print_row(
-            "entry_rss",
-            &[],
-            format!("{:.1}", resident_megabytes(self.entry_pid)?),
-            "MB",
-        );
-        print_row(
-            "agent_rss",
-            &[],
-            format!("{:.1}", resident_megabytes(self.agent_pid)?),
-            "MB",
-        );
-        for (name, pid) in [
-            ("agent_idle_cpu", self.agent_pid),
-            ("entry_idle_cpu", self.entry_pid),
-        ] {
+        print_row("entry_rss", &[], format!("{:.1}", resident_megabytes(self.entry_pid)?), "MB");
+        print_row("agent_rss", &[], format!("{:.1}", resident_megabytes(self.agent_pid)?), "MB");
+        for (name, pid) in [("agent_idle_cpu", self.agent_pid), ("entry_idle_cpu", self.entry_pid)]
+        {
             let before = processor_seconds(pid)?;
             tokio::time::sleep(IDLE).await;
             let used = processor_seconds(pid)? - before;
@@ -115,20 +103,14 @@
     let text = read_process_file(pid, "status")?;
     let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
     let kilobytes = line.and_then(|rest| rest.split_whitespace().next()?.parse::<f64>().ok());
-    kilobytes
-        .map(|kb| kb / 1024.0)
-        .ok_or(MeasureError::State("no VmRSS".to_string()))
+    kilobytes.map(|kb| kb / 1024.0).ok_or(MeasureError::State("no VmRSS".to_string()))
 }
 
 fn processor_seconds(pid: u32) -> Result<f64, MeasureError> {
     let text = read_process_file(pid, "stat")?;
     let after_name = text.rsplit(')').next().unwrap_or("");
     let fields: Vec<&str> = after_name.split_whitespace().collect();
-    let tick = |index: usize| {
-        fields
-            .get(index)
-            .and_then(|field| field.parse::<f64>().ok())
-    };
+    let tick = |index: usize| fields.get(index).and_then(|field| field.parse::<f64>().ok());
     // User and system time are fields 14 and 15 of the file, 3 being the first after the name.
     match (tick(11), tick(12)) {
         (Some(user), Some(system)) => Ok((user + system) / TICKS_PER_SECOND),
--- a/crates/bw-measure/src/commands/session.rs
+++ b/crates/bw-measure/src/commands/session.rs
@@ -66,10 +66,7 @@
         }
         let (once, doubled) = self.count_runs().await?;
         println!("calls that may run once, as the stand-ins counted them: {once} ran");
-        println!(
-            "demo: {sent} sent, {whole} whole, {} lost, {doubled} doubled",
-            lost.len()
-        );
+        println!("demo: {sent} sent, {whole} whole, {} lost, {doubled} doubled", lost.len());
         if !lost.is_empty() || doubled > 0 || sent == 0 || once == 0 {
             return Err(MeasureError::Check("lost or doubled requests".to_string()));
         }
@@ -85,17 +82,11 @@
             let name = format!("caller {number} round {round}");
             let received = match round % 4 {
                 0 => caller.chat(&self.model, &name, TOKENS, false).await,
-                1 => {
-                    caller
-                        .read(&self.service, &format!("/jobs/{number}-{round}"))
-                        .await
-                }
+                1 => caller.read(&self.service, &format!("/jobs/{number}-{round}")).await,
                 2 => {
                     let key = format!("session-{number}-{round}");
                     let body = format!("{{\"robot\":\"{name}\"}}");
-                    caller
-                        .call_once(&self.service, "/dispatch", &body, &key)
-                        .await
+                    caller.call_once(&self.service, "/dispatch", &body, &key).await
                 }
                 _ => caller.chat(&self.model, &name, TOKENS, true).await,
             };
@@ -117,11 +108,8 @@
         let runs = value.get("runs").cloned().unwrap_or_default();
         let runs: BTreeMap<String, u32> =
             serde_json::from_value(runs).map_err(|error| MeasureError::State(error.to_string()))?;
-        let once: Vec<u32> = runs
-            .iter()
-            .filter(|(call, _)| call.starts_with("POST "))
-            .map(|(_, n)| *n)
-            .collect();
+        let once: Vec<u32> =
+            runs.iter().filter(|(call, _)| call.starts_with("POST ")).map(|(_, n)| *n).collect();
         let doubled = once.iter().filter(|count| **count > 1).count();
         Ok((once.len(), doubled))
     }
--- /dev/null
+++ b/crates/bw-measure/src/commands/skew.rs
@@ -0,0 +1,177 @@
+//! `skew`: skew and moves of placement policies on the same seeded drift of demand.
+
+use std::time::Duration;
+
+use argh::FromArgs;
+use bw_expert::policy::baseline::full_plan;
+use bw_expert::policy::skew::least_skew;
+use bw_expert::policy::skew::map_skew;
+use bw_expert::policy::Estimator;
+use bw_expert::policy::Planner;
+use bw_expert::policy::Tuning;
+use bw_expert::ExpertMap;
+
+use crate::drift::Drift;
+use crate::drift::DriftKind;
+use crate::error::MeasureError;
+use crate::output::print_row;
+use crate::stats::quantile;
+
+const RANKS: u16 = 16;
+const EXPERTS: u16 = 128;
+const SLOTS: u16 = 10;
+const LAYERS: u16 = 4;
+/// Time between two reports of demand.
+const INTERVAL: Duration = Duration::from_secs(10);
+/// Bytes of one expert's weights in one layer.
+const EXPERT_BYTES: f64 = 44e6;
+/// Skew at which the threshold baseline plans anew.
+const THRESHOLD: f64 = 1.2;
+
+/// skew, moves and bytes of placement policies under drifting demand
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "skew")]
+pub struct Skew {
+    /// seed of the drift
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// hours of demand
+    #[argh(option, default = "8")]
+    hours: u64,
+}
+
+/// A policy under measurement.
+enum Policy {
+    Static,
+    Full(Estimator),
+    Threshold(Estimator),
+    Ours(Box<Planner>),
+}
+
+impl Policy {
+    fn all() -> Vec<(&'static str, Policy)> {
+        vec![
+            ("static", Policy::Static),
+            ("full_replan", Policy::Full(Estimator::default())),
+            ("threshold", Policy::Threshold(Estimator::default())),
+            ("ours_lipnik", Policy::Ours(Box::new(Planner::new(lipnik())))),
+            ("ours_galle", Policy::Ours(Box::new(Planner::new(galle())))),
+        ]
+    }
+
+    fn plan(&mut self, map: &ExpertMap, report: &[Vec<u32>], now: Duration) -> Option<ExpertMap> {
+        match self {
+            Policy::Static => None,
+            Policy::Full(estimator) => {
+                estimator.take(report);
+                Some(full_plan(map, &last_report(report)))
+            }
+            Policy::Threshold(estimator) => {
+                estimator.take(report);
+                let demand = last_report(report);
+                (map_skew(map, &demand) > THRESHOLD).then(|| full_plan(map, &demand))
+            }
+            Policy::Ours(planner) => {
+                planner.take(report);
+                let plan = planner.plan(map, now)?;
+                planner.note_switch(now);
+                Some(plan.map)
+            }
+        }
+    }
+}
+
+/// The tuning of the Lipnik example.
+pub fn lipnik() -> Tuning {
+    tuning(5.0, 20)
+}
+
+/// The tuning of the Galle example.
+pub fn galle() -> Tuning {
+    tuning(60.0, 300)
+}
+
+fn tuning(price: f64, pause: u64) -> Tuning {
+    Tuning {
+        price,
+        pause: Duration::from_secs(pause),
+        horizon: Duration::from_secs(900),
+        moves: 64,
+    }
+}
+
+fn last_report(report: &[Vec<u32>]) -> Vec<Vec<f64>> {
+    report.iter().map(|layer| layer.iter().map(|count| f64::from(*count)).collect()).collect()
+}
+
+impl Skew {
+    /// Runs the measurement.
+    ///
+    /// # Errors
+    /// A policy that makes a map that is not valid.
+    pub fn run(&self) -> Result<(), MeasureError> {
+        for kind in DriftKind::ALL {
+            for (name, policy) in Policy::all() {
+                self.run_policy(kind, name, policy)?;
+            }
+            self.run_bound(kind);
+        }
+        Ok(())
+    }
+
+    fn steps(&self) -> u64 {
+        self.hours * 3_600 / INTERVAL.as_secs()
+    }
+
+    fn drift(&self, kind: DriftKind) -> Drift {
+        Drift::new(kind, usize::from(EXPERTS), usize::from(LAYERS), self.seed)
+    }
+
+    fn run_policy(
+        &self,
+        kind: DriftKind,
+        name: &str,
+        mut policy: Policy,
+    ) -> Result<(), MeasureError> {
+        let mut drift = self.drift(kind);
+        let mut map = ExpertMap::initial(RANKS, SLOTS, LAYERS, EXPERTS);
+        let (mut skews, mut moves, mut switches) = (Vec::new(), 0, 0);
+        for step in 0..self.steps() {
+            let now = INTERVAL * step as u32;
+            let demand = drift.demand(now);
+            skews.push(map_skew(&map, &demand));
+            let report = drift.report(&demand);
+            if let Some(next) = policy.plan(&map, &report, now) {
+                next.check(usize::from(EXPERTS))
+                    .map_err(|error| MeasureError::Check(format!("{name}: {error}")))?;
+                moves += map.moves_to(&next).len();
+                switches += 1;
+                map = next;
+            }
+        }
+        let labels = [("drift", kind.name().to_string()), ("policy", name.to_string())];
+        let per_hour = moves as f64 / self.hours as f64;
+        print_row("skew_p50", &labels, format!("{:.3}", quantile(&mut skews, 0.5)), "ratio");
+        print_row("skew_p99", &labels, format!("{:.3}", quantile(&mut skews, 0.99)), "ratio");
+        print_row("moves_per_hour", &labels, format!("{per_hour:.1}"), "moves");
+        print_row("bytes_per_hour", &labels, format!("{:.2e}", per_hour * EXPERT_BYTES), "bytes");
+        let switches = switches as f64 / self.hours as f64;
+        print_row("switches_per_hour", &labels, format!("{switches:.1}"), "switches");
+        Ok(())
+    }
+
+    /// The least skew that any placement into the slots can have.
+    fn run_bound(&self, kind: DriftKind) {
+        let mut drift = self.drift(kind);
+        let mut skews = Vec::new();
+        for step in 0..self.steps() {
+            let demand = drift.demand(INTERVAL * step as u32);
+            let layer =
+                |demand: &Vec<f64>| least_skew(usize::from(RANKS), usize::from(SLOTS), demand);
+            skews.push(demand.iter().map(layer).sum::<f64>() / demand.len() as f64);
+        }
+        let labels = [("drift", kind.name().to_string()), ("policy", "bound".to_string())];
+        print_row("skew_p50", &labels, format!("{:.3}", quantile(&mut skews, 0.5)), "ratio");
+        print_row("skew_p99", &labels, format!("{:.3}", quantile(&mut skews, 0.99)), "ratio");
+    }
+}
--- a/crates/bw-measure/src/lib.rs
+++ b/crates/bw-measure/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod caller;
 pub mod commands;
+pub mod drift;
 pub mod error;
 pub mod output;
 pub mod stats;
--- a/crates/bw-measure/src/main.rs
+++ b/crates/bw-measure/src/main.rs
@@ -4,7 +4,9 @@
 
 use argh::FromArgs;
 use bw_measure::commands::Path;
+use bw_measure::commands::PlanTime;
 use bw_measure::commands::Session;
+use bw_measure::commands::Skew;
 
 /// Measure parts of baobabwind. Each line of output reads: name{label=value,...} value unit
 #[derive(FromArgs)]
@@ -17,7 +19,9 @@
 #[argh(subcommand)]
 enum Command {
     Path(Path),
+    Plan(PlanTime),
     Session(Session),
+    Skew(Skew),
 }
 
 #[tokio::main]
@@ -25,7 +29,9 @@
     let arguments: Arguments = argh::from_env();
     let result = match arguments.command {
         Command::Path(path) => path.run().await,
+        Command::Plan(plan) => plan.run(),
         Command::Session(session) => session.run().await,
+        Command::Skew(skew) => skew.run(),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/bw-measure/src/output.rs
+++ b/crates/bw-measure/src/output.rs
@@ -17,10 +17,8 @@
 {
     let mut row = name.to_string();
     if !labels.is_empty() {
-        let pairs: Vec<String> = labels
-            .iter()
-            .map(|(key, value)| format!("{key}={value}"))
-            .collect();
+        let pairs: Vec<String> =
+            labels.iter().map(|(key, value)| format!("{key}={value}")).collect();
         row.push_str(&format!("{{{}}}", pairs.join(",")));
     }
     row.push_str(&format!(" {value}"));
--- a/crates/bw-measure/src/stats.rs
+++ b/crates/bw-measure/src/stats.rs
@@ -15,15 +15,8 @@
     let count = points.len() as f64;
     let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
     let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
-    let covariance: f64 = points
-        .iter()
-        .map(|(x, y)| (x - mean_x) * (y - mean_y))
-        .sum();
+    let covariance: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
     let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
-    let slope = if variance > 0.0 {
-        covariance / variance
-    } else {
-        0.0
-    };
+    let slope = if variance > 0.0 { covariance / variance } else { 0.0 };
     (mean_y - slope * mean_x, slope)
 }
--- a/crates/bw-member/src/addresses.rs
+++ b/crates/bw-member/src/addresses.rs
@@ -43,10 +43,7 @@
     candidates.sort_by_key(|candidate| (candidate.health, std::cmp::Reverse(candidate.weight)));
     let live = |candidate: &&Candidate| candidate.health == Health::Live;
     let mut picked: Vec<&Candidate> = Vec::new();
-    let near = candidates
-        .iter()
-        .filter(live)
-        .filter(|c| c.address.centre == centre);
+    let near = candidates.iter().filter(live).filter(|c| c.address.centre == centre);
     picked.extend(near.take(NEAR_MAX));
     let mut centres: Vec<&str> = vec![centre];
     for same_region in [true, false] {
@@ -59,16 +56,11 @@
         }
     }
     for candidate in &candidates {
-        let listed = picked
-            .iter()
-            .any(|other| other.address.http == candidate.address.http);
+        let listed = picked.iter().any(|other| other.address.http == candidate.address.http);
         if !listed && (candidate.health == Health::Live || picked.is_empty()) {
             picked.push(candidate);
         }
     }
     picked.truncate(ADDRESSES_MAX);
-    picked
-        .into_iter()
-        .map(|candidate| candidate.address.clone())
-        .collect()
+    picked.into_iter().map(|candidate| candidate.address.clone()).collect()
 }
--- a/crates/bw-member/src/roster.rs
+++ b/crates/bw-member/src/roster.rs
@@ -101,9 +101,7 @@
 
 impl<T> Default for Table<T> {
     fn default() -> Self {
-        Self {
-            records: BTreeMap::new(),
-        }
+        Self { records: BTreeMap::new() }
     }
 }
 
@@ -127,14 +125,7 @@
             }
         }
         let instance = record.instance().to_string();
-        self.records.insert(
-            instance,
-            Heard {
-                record,
-                time,
-                order,
-            },
-        );
+        self.records.insert(instance, Heard { record, time, order });
         true
     }
 
@@ -176,13 +167,7 @@
     pub fn new(own: PeerState) -> Self {
         let agents = Table::default();
         let peers = Table::default();
-        Self {
-            own,
-            agents,
-            peers,
-            order: 0,
-            told: BTreeMap::new(),
-        }
+        Self { own, agents, peers, order: 0, told: BTreeMap::new() }
     }
 
     /// The entry's own state.
@@ -232,23 +217,12 @@
         beats.sort_by_key(|held| held.order);
         let cut = beats.len() > DIGEST_RECORDS_MAX;
         beats.truncate(DIGEST_RECORDS_MAX);
-        let reached = if cut {
-            beats.last().map_or(told, |held| held.order)
-        } else {
-            self.order
-        };
+        let reached = if cut { beats.last().map_or(told, |held| held.order) } else { self.order };
         let beats = beats.into_iter().map(|held| held.record.clone()).collect();
-        let peers = self
-            .peers
-            .since(told)
-            .filter(|held| held.record.instance != peer);
+        let peers = self.peers.since(told).filter(|held| held.record.instance != peer);
         let peers = peers.map(|held| held.record.clone()).collect();
         self.told.insert(peer.to_string(), reached);
-        Digest {
-            sender: self.own.clone(),
-            peers,
-            beats,
-        }
+        Digest { sender: self.own.clone(), peers, beats }
     }
 
     /// Notes that a digest may not have arrived, so that the next one repeats everything.
--- a/crates/bw-model/src/arena.rs
+++ b/crates/bw-model/src/arena.rs
@@ -39,10 +39,7 @@
 
 impl<K, T> Default for Arena<K, T> {
     fn default() -> Self {
-        Self {
-            items: Vec::new(),
-            marker: PhantomData,
-        }
+        Self { items: Vec::new(), marker: PhantomData }
     }
 }
 
@@ -79,10 +76,7 @@
 
     /// All items with their keys, in order of insertion.
     pub fn iter(&self) -> impl Iterator<Item = (K, &T)> {
-        self.items
-            .iter()
-            .enumerate()
-            .map(|(index, item)| (K::from_index(index as u32), item))
+        self.items.iter().enumerate().map(|(index, item)| (K::from_index(index as u32), item))
     }
 
     /// The first item that satisfies `test`, with its key.
--- a/crates/bw-model/src/fleet.rs
+++ b/crates/bw-model/src/fleet.rs
@@ -188,14 +188,12 @@
 impl Fleet {
     /// The instance called `name`.
     pub fn instance(&self, name: &str) -> Option<(InstanceKey, &Instance)> {
-        self.instances
-            .find(|instance| instance.name.as_str() == name)
+        self.instances.find(|instance| instance.name.as_str() == name)
     }
 
     /// The pool called `name` of the given kind.
     pub fn pool(&self, kind: PoolKind, name: &str) -> Option<(PoolKey, &Pool)> {
-        self.pools
-            .find(|pool| pool.kind == kind && pool.name.as_str() == name)
+        self.pools.find(|pool| pool.kind == kind && pool.name.as_str() == name)
     }
 
     /// The workspace whose token hashes to `token`.
@@ -213,11 +211,9 @@
 
     /// The entry instances with their addresses for callers.
     pub fn entries(&self) -> impl Iterator<Item = (InstanceKey, &Instance, SocketAddr)> {
-        self.instances
-            .iter()
-            .filter_map(|(key, instance)| match instance.role {
-                Role::Entry { http } => Some((key, instance, http)),
-                Role::Agent { .. } => None,
-            })
+        self.instances.iter().filter_map(|(key, instance)| match instance.role {
+            Role::Entry { http } => Some((key, instance, http)),
+            Role::Agent { .. } => None,
+        })
     }
 }
--- a/crates/bw-model/src/hash.rs
+++ b/crates/bw-model/src/hash.rs
@@ -23,11 +23,7 @@
 
 /// Hash of an idempotency key in its scope of workspace and service.
 pub fn hash_key(workspace: &str, service: &str, key: &str) -> KeyHash {
-    let text = format!(
-        "{}:{workspace}/{}:{service}/{key}",
-        workspace.len(),
-        service.len()
-    );
+    let text = format!("{}:{workspace}/{}:{service}/{key}", workspace.len(), service.len());
     KeyHash(xxh3_128(text.as_bytes()))
 }
 
--- a/crates/bw-model/src/name.rs
+++ b/crates/bw-model/src/name.rs
@@ -53,9 +53,7 @@
         if text.len() > NAME_BYTES_MAX {
             return Err(NameError::Long(text.len()));
         }
-        let wrong = text
-            .chars()
-            .find(|c| !c.is_ascii_alphanumeric() && !"-_.".contains(*c));
+        let wrong = text.chars().find(|c| !c.is_ascii_alphanumeric() && !"-_.".contains(*c));
         match wrong {
             Some(c) => Err(NameError::Character(c)),
             None => Ok(Self(text.to_string())),
--- a/crates/bw-once/src/answer.rs
+++ b/crates/bw-once/src/answer.rs
@@ -139,12 +139,7 @@
 impl Assembler {
     /// Starts reading the answer of `attempt`.
     pub fn new(attempt: AttemptId) -> Self {
-        Self {
-            attempt,
-            offset: 0,
-            head: None,
-            end: None,
-        }
+        Self { attempt, offset: 0, head: None, end: None }
     }
 
     /// Position of the next byte, which also acknowledges those before it.
--- a/crates/bw-once/src/flow.rs
+++ b/crates/bw-once/src/flow.rs
@@ -123,16 +123,9 @@
 /// Where the flow stands.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 enum State {
-    Choosing {
-        expect: Option<AttemptId>,
-    },
-    Reading {
-        claim: Option<Claim>,
-    },
-    Swapping {
-        expect: Option<AttemptId>,
-        claim: Claim,
-    },
+    Choosing { expect: Option<AttemptId> },
+    Reading { claim: Option<Claim> },
+    Swapping { expect: Option<AttemptId>, claim: Claim },
     Dispatching(Claim),
     Asking(Claim),
     Joining(Claim),
@@ -157,14 +150,8 @@
     /// Starts a call.
     pub fn start() -> (Self, Step) {
         let state = State::Choosing { expect: None };
-        let flow = Self {
-            state,
-            unrun: false,
-            refused: false,
-            attempts: 0,
-            barred: None,
-            held: None,
-        };
+        let flow =
+            Self { state, unrun: false, refused: false, attempts: 0, barred: None, held: None };
         (flow, Step::Choose)
     }
 
@@ -229,29 +216,14 @@
     fn take_target(&mut self, expect: Option<AttemptId>, target: Option<Target>) -> Step {
         let Some(target) = target else {
             if self.unrun {
-                let reason = if self.refused {
-                    NotRun::Refused
-                } else {
-                    NotRun::NoEndpoint
-                };
+                let reason = if self.refused { NotRun::Refused } else { NotRun::NoEndpoint };
                 return self.finish(Outcome::NotRun(reason));
             }
             // An earlier call may hold the key, whose answer needs no new endpoint.
             return self.read(None);
         };
-        let Target {
-            endpoint,
-            incarnation,
-            attempt,
-        } = target;
-        self.swap(
-            expect,
-            Claim {
-                endpoint,
-                incarnation,
-                attempt,
-            },
-        )
+        let Target { endpoint, incarnation, attempt } = target;
+        self.swap(expect, Claim { endpoint, incarnation, attempt })
     }
 
     fn take_read(&mut self, own: Option<Claim>, read: Result<Option<Claim>, ReadFault>) -> Step {
@@ -342,10 +314,7 @@
     }
 
     fn swap(&mut self, expect: Option<AttemptId>, claim: Claim) -> Step {
-        self.state = State::Swapping {
-            expect,
-            claim: claim.clone(),
-        };
+        self.state = State::Swapping { expect, claim: claim.clone() };
         Step::Swap { expect, claim }
     }
 
--- a/crates/bw-once/src/gate.rs
+++ b/crates/bw-once/src/gate.rs
@@ -98,12 +98,7 @@
 impl Gate {
     /// The gate of a new life of an agent with `slots` concurrent requests.
     pub fn new(incarnation: Incarnation, slots: usize) -> Self {
-        Self {
-            incarnation,
-            slots,
-            leaving: false,
-            records: BTreeMap::new(),
-        }
+        Self { incarnation, slots, leaving: false, records: BTreeMap::new() }
     }
 
     /// This life of the agent.
@@ -144,12 +139,7 @@
         }
         let (record, verdict) = match self.refusal(dispatch.suspect) {
             Some(refusal) => (Record::Barred, Verdict::Refused(refusal)),
-            None => (
-                Record::Running {
-                    suspect: dispatch.suspect,
-                },
-                Verdict::Run,
-            ),
+            None => (Record::Running { suspect: dispatch.suspect }, Verdict::Run),
         };
         self.records.insert(dispatch.attempt, record);
         verdict
@@ -195,10 +185,7 @@
         if self.running() >= self.slots {
             return Some(Refusal::Full);
         }
-        let other_suspect = self
-            .records
-            .values()
-            .any(|r| *r == Record::Running { suspect: true });
+        let other_suspect = self.records.values().any(|r| *r == Record::Running { suspect: true });
         (suspect && other_suspect).then_some(Refusal::Suspect)
     }
 }
--- a/crates/bw-once/src/shard.rs
+++ b/crates/bw-once/src/shard.rs
@@ -84,10 +84,7 @@
         self.head = head;
         let names: Vec<String> = self.head.sealed.iter().map(|s| s.name.clone()).collect();
         self.past.retain(|name, _| names.contains(name));
-        names
-            .into_iter()
-            .filter(|name| !self.past.contains_key(name))
-            .collect()
+        names.into_iter().filter(|name| !self.past.contains_key(name)).collect()
     }
 
     /// Takes a sealed object.
@@ -97,10 +94,7 @@
 
     /// Whether all sealed objects are known, without which no change may be decided.
     pub fn is_complete(&self) -> bool {
-        self.head
-            .sealed
-            .iter()
-            .all(|sealed| self.past.contains_key(&sealed.name))
+        self.head.sealed.iter().all(|sealed| self.past.contains_key(&sealed.name))
     }
 
     /// The claim of a key.
@@ -109,9 +103,7 @@
             return claim.as_ref();
         }
         let newest_first = self.head.sealed.iter().rev();
-        let found = newest_first
-            .filter_map(|s| self.past.get(&s.name)?.get(&key))
-            .next();
+        let found = newest_first.filter_map(|s| self.past.get(&s.name)?.get(&key)).next();
         found.and_then(Option::as_ref)
     }
 
@@ -124,21 +116,11 @@
         let results: Vec<Swap> = changes.iter().map(|change| next.change(change)).collect();
         let changed = results.contains(&Swap::Done);
         if !changed {
-            return Batch {
-                head: None,
-                seal: None,
-                results,
-            };
+            return Batch { head: None, seal: None, results };
         }
-        next.head
-            .sealed
-            .retain(|sealed| sealed.until + retention > now);
+        next.head.sealed.retain(|sealed| sealed.until + retention > now);
         let seal = next.seal_if_large(shard, now);
-        Batch {
-            head: Some(next.head),
-            seal,
-            results,
-        }
+        Batch { head: Some(next.head), seal, results }
     }
 
     fn change(&mut self, change: &Change) -> Swap {
@@ -158,10 +140,7 @@
         // The head's version names the object; a failed head write leaves one nobody names.
         let name = format!("shard-{shard}-{}-{now}", self.head.next);
         self.head.next += 1;
-        self.head.sealed.push(Sealed {
-            name: name.clone(),
-            until: now,
-        });
+        self.head.sealed.push(Sealed { name: name.clone(), until: now });
         Some((name, claims))
     }
 }
--- a/crates/bw-platform/src/budget.rs
+++ b/crates/bw-platform/src/budget.rs
@@ -22,13 +22,7 @@
 
 impl Purpose {
     /// All purposes, the most important first.
-    pub const ALL: [Purpose; 5] = [
-        Self::Lease,
-        Self::Claim,
-        Self::Write,
-        Self::Read,
-        Self::Watch,
-    ];
+    pub const ALL: [Purpose; 5] = [Self::Lease, Self::Claim, Self::Write, Self::Read, Self::Watch];
 
     /// Name in metrics.
     pub fn name(self) -> &'static str {
@@ -65,12 +59,7 @@
 impl Budget {
     /// Allows `rate` calls a second, and `burst` at once after a quiet time.
     pub fn new(rate: f64, burst: f64) -> Self {
-        Self {
-            rate,
-            burst,
-            tokens: burst,
-            filled: Duration::ZERO,
-        }
+        Self { rate, burst, tokens: burst, filled: Duration::ZERO }
     }
 
     /// Takes a call's token at `now`, or tells how long to wait.
--- a/crates/bw-platform/src/claims.rs
+++ b/crates/bw-platform/src/claims.rs
@@ -61,11 +61,7 @@
     /// Claims in `store`, kept for `retention`.
     pub fn new(store: Store, retention: Duration) -> Self {
         let slots = (0..SHARDS).map(|_| Slot::default()).collect();
-        Self {
-            store,
-            slots: Arc::new(slots),
-            retention,
-        }
+        Self { store, slots: Arc::new(slots), retention }
     }
 
     /// Reads the claim of a key from the store.
@@ -139,10 +135,7 @@
         };
         if let Some((name, claims)) = &batch.seal {
             let object = Object::new(SEALED, name, "", claims)?;
-            self.store
-                .create(Purpose::Claim, &object)
-                .await
-                .map_err(not_taken)?;
+            self.store.create(Purpose::Claim, &object).await.map_err(not_taken)?;
         }
         let version = known.object.clone().unwrap_or_default();
         let object = Object::new(HEADS, &shard_name(shard), &version, head)?;
@@ -167,10 +160,7 @@
     }
 
     async fn refresh(&self, shard: u32, known: &mut Known) -> Result<(), StoreError> {
-        let object = self
-            .store
-            .get(Purpose::Claim, HEADS, &shard_name(shard))
-            .await?;
+        let object = self.store.get(Purpose::Claim, HEADS, &shard_name(shard)).await?;
         let (head, version) = match object {
             Some(object) => (object.content()?, object.metadata.version),
             None => (ShardHead::default(), String::new()),
@@ -198,7 +188,5 @@
 }
 
 fn lock<T>(mutex: &std::sync::Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
--- a/crates/bw-platform/src/config.rs
+++ b/crates/bw-platform/src/config.rs
@@ -95,9 +95,7 @@
     /// [`StoreError`]; [`StoreError::Absent`] when the head is long replaced.
     pub async fn document(&self, head: &Head) -> Result<Document, StoreError> {
         let parts = self.parts(head, &HashMap::new()).await?;
-        Ok(Document::join(
-            parts.into_iter().map(|(_, part)| part).collect(),
-        ))
+        Ok(Document::join(parts.into_iter().map(|(_, part)| part).collect()))
     }
 
     /// Reads the parts of a head that `known` does not hold.
@@ -110,11 +108,8 @@
         known: &HashMap<String, Document>,
     ) -> Result<Vec<(String, Document)>, StoreError> {
         let mut reads = Vec::new();
-        let names: Vec<&String> = head
-            .parts
-            .iter()
-            .filter(|name| !known.contains_key(*name))
-            .collect();
+        let names: Vec<&String> =
+            head.parts.iter().filter(|name| !known.contains_key(*name)).collect();
         for name in &names {
             reads.push(self.clone().part(name.to_string()));
         }
@@ -133,12 +128,7 @@
         let version = Version(read.head.version.0 + 1);
         let (retired, expired) = retire(&read.head, &parts, version);
         let nonce = Uuid::new_v4().to_string();
-        let head = Head {
-            version,
-            nonce: nonce.clone(),
-            parts,
-            retired,
-        };
+        let head = Head { version, nonce: nonce.clone(), parts, retired };
         let object = Object::new(HEADS, HEAD, &read.object, &head)?;
         let applied = match self.store.put(Purpose::Write, &object).await {
             Ok(_) => Applied::Accepted(version),
@@ -193,10 +183,7 @@
 
     async fn write_part(&self, name: &str, part: &Document) -> Result<(), StoreError> {
         if part.bytes() > PART_BYTES_MAX {
-            let reason = format!(
-                "a part has {} bytes, at most {PART_BYTES_MAX}",
-                part.bytes()
-            );
+            let reason = format!("a part has {} bytes, at most {PART_BYTES_MAX}", part.bytes());
             return Err(StoreError::Form(reason));
         }
         let object = Object::new(PARTS, name, "", part)?;
@@ -219,10 +206,7 @@
 }
 
 fn read_head(object: &Object) -> Result<HeadRead, StoreError> {
-    Ok(HeadRead {
-        head: object.content()?,
-        object: object.metadata.version.clone(),
-    })
+    Ok(HeadRead { head: object.content()?, object: object.metadata.version.clone() })
 }
 
 fn part_name(part: &Document) -> Result<String, StoreError> {
@@ -240,18 +224,11 @@
     let named: BTreeSet<&String> = parts.iter().collect();
     let replaced = head.parts.iter().filter(|name| !named.contains(name));
     let replaced: BTreeSet<&String> = replaced.collect();
-    let mut retired: Vec<(String, Version)> = head
-        .retired
-        .iter()
-        .filter(|(name, _)| !named.contains(name))
-        .cloned()
-        .collect();
+    let mut retired: Vec<(String, Version)> =
+        head.retired.iter().filter(|(name, _)| !named.contains(name)).cloned().collect();
     retired.extend(replaced.into_iter().map(|name| (name.clone(), version)));
     let old = |at: Version| at.0 + RETIRED_VERSIONS < version.0;
-    let expired = retired
-        .iter()
-        .filter(|(_, at)| old(*at))
-        .map(|(name, _)| name.clone());
+    let expired = retired.iter().filter(|(_, at)| old(*at)).map(|(name, _)| name.clone());
     let expired = expired.collect();
     retired.retain(|(_, at)| !old(*at));
     (retired, expired)
@@ -265,8 +242,5 @@
     use futures::stream::StreamExt;
     use futures::stream::TryStreamExt;
     const AT_A_TIME: usize = 8;
-    futures::stream::iter(reads)
-        .buffered(AT_A_TIME)
-        .try_collect()
-        .await
+    futures::stream::iter(reads).buffered(AT_A_TIME).try_collect().await
 }
--- a/crates/bw-platform/src/object.rs
+++ b/crates/bw-platform/src/object.rs
@@ -16,11 +16,7 @@
     /// Name within the kind.
     pub name: String,
     /// Opaque version; empty for an object to be created.
-    #[serde(
-        rename = "resourceVersion",
-        default,
-        skip_serializing_if = "String::is_empty"
-    )]
+    #[serde(rename = "resourceVersion", default, skip_serializing_if = "String::is_empty")]
     pub version: String,
 }
 
@@ -51,10 +47,7 @@
         Ok(Self {
             api: API.to_string(),
             kind: kind.to_string(),
-            metadata: Metadata {
-                name: name.to_string(),
-                version: version.to_string(),
-            },
+            metadata: Metadata { name: name.to_string(), version: version.to_string() },
             spec: spec.map_err(|error| StoreError::Form(error.to_string()))?,
         })
     }
--- a/crates/bw-platform/src/store.rs
+++ b/crates/bw-platform/src/store.rs
@@ -144,11 +144,7 @@
     /// Counts the calls made so far for `purpose` that reached the platform.
     pub fn calls(&self, purpose: Purpose) -> u64 {
         let results = ["ok", "conflict", "unavailable", "unknown", "form"];
-        let count = |result| {
-            self.calls
-                .with_label_values(&[purpose.name(), result])
-                .get()
-        };
+        let count = |result| self.calls.with_label_values(&[purpose.name(), result]).get();
         results.into_iter().map(count).sum()
     }
 
@@ -202,9 +198,7 @@
         let now = self.start.elapsed();
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
         budget.take(purpose, now).map_err(|wait| {
-            self.calls
-                .with_label_values(&[purpose.name(), "over_budget"])
-                .inc();
+            self.calls.with_label_values(&[purpose.name(), "over_budget"]).inc();
             StoreError::Budget { wait }
         })
     }
@@ -218,9 +212,7 @@
             Some(StoreError::Unknown(_)) => "unknown",
             Some(StoreError::Form(_)) => "form",
         };
-        self.calls
-            .with_label_values(&[purpose.name(), result])
-            .inc();
+        self.calls.with_label_values(&[purpose.name(), result]).inc();
     }
 
     fn kind_url(&self, kind: &str) -> String {
--- a/crates/bw-proto/src/view.rs
+++ b/crates/bw-proto/src/view.rs
@@ -26,11 +26,7 @@
 
 impl From<Shape> for ShapeView {
     fn from(shape: Shape) -> Self {
-        Self {
-            layers: shape.layers,
-            experts: shape.experts,
-            slots: shape.slots,
-        }
+        Self { layers: shape.layers, experts: shape.experts, slots: shape.slots }
     }
 }
 
@@ -77,11 +73,7 @@
             slots: endpoint.slots,
             fenced: endpoint.fenced,
             shape: endpoint.shape.map(ShapeView::from),
-            ranks: endpoint
-                .ranks
-                .iter()
-                .map(|rank| fleet.instances[*rank].link)
-                .collect(),
+            ranks: endpoint.ranks.iter().map(|rank| fleet.instances[*rank].link).collect(),
             entries: preferred_entries(fleet, instance, found.centre),
         })
     }
--- a/crates/bw-route/src/admission.rs
+++ b/crates/bw-route/src/admission.rs
@@ -119,8 +119,7 @@
             return false;
         };
         let before = lane.waiting.len();
-        lane.waiting
-            .retain(|waiting| waiting.offer.ticket != ticket);
+        lane.waiting.retain(|waiting| waiting.offer.ticket != ticket);
         let removed = before - lane.waiting.len();
         self.waiting -= removed;
         removed > 0
@@ -141,15 +140,8 @@
         }
         self.waiting -= shed.len();
         while self.waiting > QUEUE_MAX {
-            let last = |lane: &Lane| {
-                lane.waiting
-                    .back()
-                    .map_or(f64::MIN, |waiting| waiting.start)
-            };
-            let furthest = self
-                .lanes
-                .values_mut()
-                .max_by(|a, b| last(a).total_cmp(&last(b)));
+            let last = |lane: &Lane| lane.waiting.back().map_or(f64::MIN, |waiting| waiting.start);
+            let furthest = self.lanes.values_mut().max_by(|a, b| last(a).total_cmp(&last(b)));
             let Some(waiting) = furthest.and_then(|lane| lane.waiting.pop_back()) else {
                 break;
             };
@@ -169,10 +161,8 @@
     }
 
     fn next_lane(&self) -> Option<WorkspaceKey> {
-        let heads = self
-            .lanes
-            .iter()
-            .filter_map(|(key, lane)| Some((*key, *lane.waiting.front()?)));
+        let heads =
+            self.lanes.iter().filter_map(|(key, lane)| Some((*key, *lane.waiting.front()?)));
         let rank = |waiting: &Waiting| {
             let within = waiting.start <= self.virtual_time;
             let order = if within { waiting.offer.order } else { u8::MAX };
@@ -180,9 +170,7 @@
         };
         let less = |a: &(WorkspaceKey, Waiting), b: &(WorkspaceKey, Waiting)| {
             let ((a_out, a_order, a_start), (b_out, b_order, b_start)) = (rank(&a.1), rank(&b.1));
-            (a_out, a_order)
-                .cmp(&(b_out, b_order))
-                .then(a_start.total_cmp(&b_start))
+            (a_out, a_order).cmp(&(b_out, b_order)).then(a_start.total_cmp(&b_start))
         };
         heads.min_by(less).map(|(key, _)| key)
     }
--- a/crates/bw-route/src/budget.rs
+++ b/crates/bw-route/src/budget.rs
@@ -13,9 +13,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            saved: SAVED_MAX / 2.0,
-        }
+        Self { saved: SAVED_MAX / 2.0 }
     }
 }
 
--- a/crates/bw-route/src/eject.rs
+++ b/crates/bw-route/src/eject.rs
@@ -29,9 +29,7 @@
     pub fn fail(&mut self, now: Duration) {
         self.failures += 1;
         if self.failures >= FAILURES && !self.is_ejected(now) {
-            let span = EJECT_FIRST
-                .saturating_mul(1 << self.times.min(8))
-                .min(EJECT_LONGEST);
+            let span = EJECT_FIRST.saturating_mul(1 << self.times.min(8)).min(EJECT_LONGEST);
             self.times += 1;
             self.until = Some(now + span);
             self.failures = 0;
@@ -40,10 +38,7 @@
 
     /// Notes that the endpoint started anew at `now`.
     pub fn restart(&mut self, now: Duration) {
-        *self = Self {
-            returned: Some(now),
-            ..Self::default()
-        };
+        *self = Self { returned: Some(now), ..Self::default() };
     }
 
     /// Whether requests should avoid it.
--- a/crates/bw-route/src/prefix.rs
+++ b/crates/bw-route/src/prefix.rs
@@ -39,10 +39,7 @@
 
     /// Leading blocks that are probably cached, as an expected number.
     pub fn expected_hits(&self, blocks: &[u64], now: Duration) -> f64 {
-        let ages = blocks
-            .iter()
-            .take(PROMPT_BLOCKS_MAX)
-            .map_while(|block| self.blocks.get(block));
+        let ages = blocks.iter().take(PROMPT_BLOCKS_MAX).map_while(|block| self.blocks.get(block));
         let chance = |used: &Duration| {
             let age = now.saturating_sub(*used).as_secs_f64() / HALF_LIFE.as_secs_f64();
             0.5f64.powf(age)
--- a/crates/bw-route/src/router.rs
+++ b/crates/bw-route/src/router.rs
@@ -143,10 +143,7 @@
             let key = match self.names.get(&name) {
                 Some(key) => *key,
                 None => {
-                    let key = self.slots.push(Slot {
-                        name: name.clone(),
-                        ..Slot::default()
-                    });
+                    let key = self.slots.push(Slot { name: name.clone(), ..Slot::default() });
                     self.names.insert(name, key);
                     key
                 }
@@ -244,14 +241,9 @@
         let Some(pool) = fleet.pools.get(pool) else {
             return 0.0;
         };
-        let usable = pool
-            .endpoints
-            .iter()
-            .filter_map(|key| self.state(*key))
-            .filter(|s| is_usable(s));
-        usable
-            .map(|state| (f64::from(state.slots) - state.load.expected()).max(0.0))
-            .sum()
+        let usable =
+            pool.endpoints.iter().filter_map(|key| self.state(*key)).filter(|s| is_usable(s));
+        usable.map(|state| (f64::from(state.slots) - state.load.expected()).max(0.0)).sum()
     }
 
     /// Chooses an endpoint; `None` when none can take the request.
@@ -270,13 +262,7 @@
         let best = candidates.first()?.endpoint;
         let slot = self.slot(best)?;
         let incarnation = self.slots[slot].incarnation?;
-        Some(Choice {
-            endpoint: best,
-            slot,
-            incarnation,
-            candidates,
-            reason,
-        })
+        Some(Choice { endpoint: best, slot, incarnation, candidates, reason })
     }
 
     /// Endpoints that the rules and earlier refusals leave, and that may be spoken to.
@@ -287,10 +273,7 @@
         let fits = |key: &&EndpointKey| {
             let endpoint = &fleet.endpoints[**key];
             endpoint.allows(query.workspace)
-                && !query
-                    .exclude
-                    .iter()
-                    .any(|name| name == endpoint.name.as_str())
+                && !query.exclude.iter().any(|name| name == endpoint.name.as_str())
                 && self.state(**key).is_some_and(is_usable)
         };
         pool.endpoints.iter().filter(fits).copied().collect()
@@ -303,8 +286,7 @@
         now: Duration,
     ) -> (Vec<EndpointKey>, &'static str) {
         let ejected = |key: &EndpointKey| {
-            self.state(*key)
-                .is_some_and(|state| state.ejection.is_ejected(now))
+            self.state(*key).is_some_and(|state| state.ejection.is_ejected(now))
         };
         let count = allowed.iter().filter(|key| ejected(key)).count();
         if count == 0 {
@@ -313,11 +295,7 @@
         if count as f64 > allowed.len() as f64 * EJECTED_PART {
             return (allowed.to_vec(), "too_many_ejected");
         }
-        let kept = allowed
-            .iter()
-            .filter(|key| !ejected(key))
-            .copied()
-            .collect();
+        let kept = allowed.iter().filter(|key| !ejected(key)).copied().collect();
         (kept, "others_ejected")
     }
 
@@ -352,11 +330,7 @@
             })
             .collect();
         order.sort_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-        order
-            .into_iter()
-            .take(SHARED_CANDIDATES)
-            .map(|(_, key)| key)
-            .collect()
+        order.into_iter().take(SHARED_CANDIDATES).map(|(_, key)| key).collect()
     }
 
     /// Expected wait in milliseconds.
@@ -371,11 +345,7 @@
         let batch = service * 0.25 * (load / slots).min(1.0);
         let queue = service * ((load + 1.0 - slots).max(0.0) / slots);
         let saved = BLOCK_SAVES * state.prefixes.expected_hits(query.blocks, now);
-        let quiet = if state.presence == Presence::Quiet {
-            QUIET
-        } else {
-            0.0
-        };
+        let quiet = if state.presence == Presence::Quiet { QUIET } else { 0.0 };
         batch + queue + state.distance + quiet - saved
     }
 
