--- a/crates/bw-link/src/client.rs
+++ b/crates/bw-link/src/client.rs
@@ -25,8 +25,9 @@
 /// A connection to one process; many calls may run on it at a time.
 pub struct Client {
     address: SocketAddr,
-    socket: Socket,
+    /// Dropped before the socket, whose closing waits for all of its contexts.
     idle: Mutex<Vec<Channel>>,
+    socket: Socket,
 }
 
 impl Client {
--- a/crates/bw-link/src/server.rs
+++ b/crates/bw-link/src/server.rs
@@ -11,6 +11,7 @@
 use nng::options::RecvMaxSize;
 use nng::Protocol;
 use nng::Socket;
+use tokio::sync::watch;
 
 use crate::call::Channel;
 use crate::error::LinkError;
@@ -44,21 +45,20 @@
 {
     let socket = open_socket(address).map_err(|error| LinkError::from_nng(address, error))?;
     let workers = Arc::new(Workers::default());
+    let (open, closed) = watch::channel(());
+    let hub = Hub { address, socket, handler, workers, closed };
     for _ in 0..IDLE_WORKERS {
-        start_worker(address, socket.clone(), handler.clone(), workers.clone());
+        hub.start_worker();
     }
-    Ok(Listener { socket })
+    Ok(Listener { _open: open })
 }
 
-/// An open listener; dropping it closes the socket.
+/// An open listener; dropping it ends the workers, the last of which closes the socket.
+///
+/// nng waits for all contexts of a socket before it closes it, so the socket must not be closed
+/// while a worker holds one.
 pub struct Listener {
-    socket: Socket,
-}
-
-impl Drop for Listener {
-    fn drop(&mut self) {
-        self.socket.close();
-    }
+    _open: watch::Sender<()>,
 }
 
 fn open_socket(address: SocketAddr) -> Result<Socket, nng::Error> {
@@ -68,51 +68,61 @@
     Ok(socket)
 }
 
-fn start_worker<H>(address: SocketAddr, socket: Socket, handler: H, workers: Arc<Workers>)
-where
-    H: Handler,
-{
-    workers.all.fetch_add(1, Ordering::Relaxed);
-    workers.idle.fetch_add(1, Ordering::Relaxed);
-    tokio::spawn(async move {
-        let result = run_worker(address, &socket, &handler, &workers).await;
-        workers.all.fetch_sub(1, Ordering::Relaxed);
-        if let Err(error) = result {
-            if error != nng::Error::Closed {
-                warn!("event=link_worker_ended address={address} reason=\"{error}\"");
-            }
-        }
-    });
+/// What all workers of a listener share.
+#[derive(Clone)]
+struct Hub<H> {
+    address: SocketAddr,
+    handler: H,
+    workers: Arc<Workers>,
+    closed: watch::Receiver<()>,
+    socket: Socket,
 }
 
-/// Answers requests one after another until enough other workers are idle.
-async fn run_worker<H>(
-    address: SocketAddr,
-    socket: &Socket,
-    handler: &H,
-    workers: &Arc<Workers>,
-) -> Result<(), nng::Error>
+impl<H> Hub<H>
 where
     H: Handler,
 {
-    let mut channel = Channel::open(socket)?;
-    loop {
-        let received = channel.receive().await;
-        let idle = workers.idle.fetch_sub(1, Ordering::Relaxed) - 1;
-        let request = received?;
-        if idle < IDLE_WORKERS && workers.all.load(Ordering::Relaxed) < WORKERS_MAX {
-            start_worker(address, socket.clone(), handler.clone(), workers.clone());
-        }
-        let reply = handler.handle(request).await;
-        // A peer that left before its reply is no reason to stop the worker.
-        if let Err(error) = channel.send(&reply).await {
-            if error == nng::Error::Closed {
-                return Err(error);
+    fn start_worker(&self) {
+        self.workers.all.fetch_add(1, Ordering::Relaxed);
+        self.workers.idle.fetch_add(1, Ordering::Relaxed);
+        let hub = self.clone();
+        let mut closed = self.closed.clone();
+        tokio::spawn(async move {
+            tokio::select! {
+                result = hub.run_worker() => {
+                    if let Err(error) = result {
+                        warn!("event=link_worker_ended address={} reason=\"{error}\"", hub.address);
+                    }
+                }
+                // The sender is never used; its end is the signal.
+                _ = closed.changed() => {}
             }
+            hub.workers.all.fetch_sub(1, Ordering::Relaxed);
+        });
+    }
+
+    /// Answers requests one after another until enough other workers are idle.
+    async fn run_worker(&self) -> Result<(), nng::Error> {
+        let workers = &self.workers;
+        let mut channel = Channel::open(&self.socket)?;
+        loop {
+            let received = channel.receive().await;
+            let idle = workers.idle.fetch_sub(1, Ordering::Relaxed) - 1;
+            let request = received?;
+            if idle < IDLE_WORKERS && workers.all.load(Ordering::Relaxed) < WORKERS_MAX {
+                self.start_worker();
+            }
+            let reply = self.handler.handle(request).await;
+            // A peer that left before its reply is no reason to stop the worker.
+            if let Err(error) = channel.send(&reply).await {
+                if error == nng::Error::Closed {
+                    return Err(error);
+                }
+            }
+            if workers.idle.load(Ordering::Relaxed) >= IDLE_WORKERS * 4 {
+                return Ok(());
+            }
+            workers.idle.fetch_add(1, Ordering::Relaxed);
         }
-        if workers.idle.load(Ordering::Relaxed) >= IDLE_WORKERS * 4 {
-            return Ok(());
-        }
-        workers.idle.fetch_add(1, Ordering::Relaxed);
     }
 }
--- a/crates/bw-link/tests/link.rs
+++ b/crates/bw-link/tests/link.rs
@@ -72,3 +72,21 @@
     assert_eq!(reply, b"again");
     drop(listener);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_given_up_while_they_finish_do_not_block() {
+    let address = free_address();
+    let listener = serve(address, Echo).unwrap();
+    let pool = Pool::new();
+    // The limits end about when the replies arrive, so channels are dropped inside callbacks.
+    for micros in 0..400 {
+        let calls = (0..8).map(|_| {
+            let pool = pool.clone();
+            async move { pool.call(address, b"now", Duration::from_micros(micros * 2)).await }
+        });
+        futures::future::join_all(calls).await;
+    }
+    let reply = pool.call(address, b"after", LIMIT).await.unwrap();
+    assert_eq!(reply, b"after");
+    drop(listener);
+}
