--- /dev/null
+++ b/crates/bw-golden/tests/sessions.rs
@@ -0,0 +1,45 @@
+//! Every file in `sessions` must give the output that it shows.
+//!
+//! With `BW_BLESS=1` the files are rewritten with the output that the commands give now.
+
+use std::path::Path;
+
+use bw_golden::config::ConfigPlayer;
+use bw_golden::once::OncePlayer;
+use bw_golden::replay;
+use bw_golden::switch::SwitchPlayer;
+use bw_golden::Player;
+
+fn check<P>(path: &Path, mut player: P) -> datatest_stable::Result<()>
+where
+    P: Player,
+{
+    let text = std::fs::read_to_string(path)?;
+    let played = replay(&text, &mut player)?;
+    if std::env::var_os("BW_BLESS").is_some() {
+        std::fs::write(path, &played)?;
+        return Ok(());
+    }
+    if played != text {
+        return Err(format!("{}: the session gives now:\n{played}", path.display()).into());
+    }
+    Ok(())
+}
+
+fn once(path: &Path) -> datatest_stable::Result<()> {
+    check(path, OncePlayer::default())
+}
+
+fn switch(path: &Path) -> datatest_stable::Result<()> {
+    check(path, SwitchPlayer::default())
+}
+
+fn config(path: &Path) -> datatest_stable::Result<()> {
+    check(path, ConfigPlayer::default())
+}
+
+datatest_stable::harness! {
+    { test = once, root = "sessions/once", pattern = r"\.session$" },
+    { test = switch, root = "sessions/switch", pattern = r"\.session$" },
+    { test = config, root = "sessions/config", pattern = r"\.session$" },
+}
--- /dev/null
+++ b/crates/bw-once/tests/answer.rs
@@ -0,0 +1,84 @@
+//! Answers that arrive crossed, twice, late or in pieces.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+use bw_model::AttemptId;
+use bw_model::Incarnation;
+use bw_once::answer::Accept;
+use bw_once::evidence::Standing;
+use bw_once::Answer;
+use bw_once::Assembler;
+use bw_once::Crash;
+use bw_once::End;
+use bw_once::Evidence;
+use proptest::prelude::*;
+
+const OWN: AttemptId = AttemptId(1);
+
+#[test]
+fn an_answer_of_another_attempt_is_dropped() {
+    let mut answer = Answer::default();
+    answer.append(b"other");
+    let mut assembler = Assembler::new(OWN);
+    let chunk = answer.read(AttemptId(2), 0, 100).unwrap();
+    assert_eq!(assembler.accept(chunk), Accept::Crossed);
+    assert_eq!(assembler.offset(), 0);
+}
+
+#[test]
+fn bytes_that_were_acknowledged_are_freed_and_not_read_again() {
+    let mut answer = Answer::default();
+    answer.append(b"0123456789");
+    answer.trim(4);
+    assert_eq!((answer.held(), answer.length()), (6, 10));
+    assert!(answer.read(OWN, 3, 10).is_none());
+    assert_eq!(answer.read(OWN, 4, 10).unwrap().bytes, b"456789");
+}
+
+fn crash(number: u32, fingerprints: &[u64]) -> Crash {
+    Crash {
+        endpoint: format!("group-{number}"),
+        incarnation: Incarnation(1),
+        number: 1,
+        fingerprints: fingerprints.to_vec(),
+    }
+}
+
+#[test]
+fn the_second_crash_tells_the_guilty_from_those_beside_it() {
+    let mut evidence = Evidence::new();
+    assert!(evidence.record(&crash(1, &[7, 8, 9])));
+    assert!(!evidence.record(&crash(1, &[7, 8, 9])), "the same crash counts once");
+    assert_eq!(evidence.standing(8), Standing::Suspect);
+    evidence.clear(8);
+    evidence.record(&crash(2, &[7, 10]));
+    assert_eq!(evidence.standing(7), Standing::Quarantined);
+    assert_eq!(evidence.standing(8), Standing::Clear);
+    assert_eq!(evidence.standing(10), Standing::Suspect);
+    evidence.clear(7);
+    assert_eq!(evidence.standing(7), Standing::Quarantined, "a late answer clears nothing");
+}
+
+proptest! {
+    #[test]
+    fn any_order_of_reads_gives_each_byte_once(
+        body in prop::collection::vec(any::<u8>(), 0..200),
+        reads in prop::collection::vec((0u64..220, 1usize..50), 0..40),
+    ) {
+        let mut answer = Answer::default();
+        answer.append(&body);
+        answer.finish(End::Whole);
+        let mut assembler = Assembler::new(OWN);
+        let mut received = Vec::new();
+        let in_order = std::iter::repeat_n((u64::MAX, 16), 20);
+        for (offset, limit) in reads.into_iter().chain(in_order) {
+            let offset = if offset == u64::MAX { assembler.offset() } else { offset };
+            let Some(chunk) = answer.read(OWN, offset, limit) else { continue };
+            if let Accept::New(bytes) = assembler.accept(chunk) {
+                received.extend(bytes);
+            }
+        }
+        prop_assert_eq!(received, body);
+        prop_assert_eq!(assembler.end(), Some(End::Whole));
+    }
+}
