--- a/crates/bw-agent/src/experts.rs
+++ b/crates/bw-agent/src/experts.rs
@@ -38,6 +38,8 @@
 
 const TICK: Duration = Duration::from_millis(100);
 const CALL_LIMIT: Duration = Duration::from_millis(1_500);
+/// Rounds of messages and answers in one tick.
+const ROUNDS_MAX: usize = 8;
 /// Ticks after which a switch that is not decided is given up.
 const PATIENCE_TICKS: u32 = 3_000;
 
@@ -229,9 +231,12 @@
         Ok(())
     }
 
-    /// Sends messages and feeds the answers back until nothing more is to be sent.
+    /// Sends messages and feeds the answers back; what is left is sent again on the next tick.
     async fn carry(&self, view: &AgentView, mut outbox: Vec<(u32, Message)>) {
-        while !outbox.is_empty() {
+        for _ in 0..ROUNDS_MAX {
+            if outbox.is_empty() {
+                return;
+            }
             let mut calls = Vec::new();
             for (rank, message) in outbox.drain(..) {
                 calls.push(self.send(view, rank, message));
--- a/crates/bw-entry/src/members.rs
+++ b/crates/bw-entry/src/members.rs
@@ -18,6 +18,7 @@
 use bw_member::Health;
 use bw_member::PeerState;
 use bw_member::Roster;
+use bw_member::Spread;
 use bw_model::fleet::Role;
 use bw_model::hash::rendezvous_weight;
 use bw_model::Fleet;
@@ -207,7 +208,9 @@
         let now = self.now();
         self.lock().drop_gone(now);
         let mut peers = self.other_entries(&current.fleet);
-        if peers.len() > MESH_MAX {
+        let sparse = peers.len() > MESH_MAX;
+        self.lock().set_spread(if sparse { Spread::SPARSE } else { Spread::ALL });
+        if sparse {
             peers.shuffle(&mut rand::rng());
             peers.truncate(FANOUT);
         }
@@ -219,7 +222,7 @@
     }
 
     async fn tell(&self, config: &Config, pool: &Pool, name: String, link: SocketAddr) {
-        let digest = self.lock().digest_for(&name);
+        let digest = self.lock().digest_for(&name, self.now());
         let Ok(bytes) = encode(&EntryRequest::Digest(digest)) else {
             return;
         };
--- a/crates/bw-entry/src/requests/once.rs
+++ b/crates/bw-entry/src/requests/once.rs
@@ -183,7 +183,8 @@
         let _sent = self.services.routing.start(choice.slot, &[]);
         self.admitted = None;
         match self.services.agents.dispatch(place.agent, dispatch).await {
-            Ok((verdict, _)) => {
+            Ok((verdict, running)) => {
+                self.services.routing.take_running(choice.slot, running);
                 if let gate::Verdict::Refused(refusal) = verdict {
                     if refusal == gate::Refusal::Leaving {
                         self.services.routing.lock().note_leaving(choice.slot);
--- a/crates/bw-entry/src/requests/repeatable.rs
+++ b/crates/bw-entry/src/requests/repeatable.rs
@@ -126,6 +126,9 @@
         drop(admitted);
         let waiting = Waiting::new(&self.agents, place);
         let verdict = self.agents.dispatch(agent, dispatch).await;
+        if let Ok((_, running)) = &verdict {
+            self.routing.take_running(choice.slot, *running);
+        }
         let end = match verdict {
             Ok((Verdict::Refused(refusal), _)) => {
                 self.count_attempt("refused");
--- a/crates/bw-entry/src/routing.rs
+++ b/crates/bw-entry/src/routing.rs
@@ -66,6 +66,12 @@
         Sent { routing: self.clone(), slot, whole: false }
     }
 
+    /// Takes the load that an agent tells with its verdict, which is fresher than any digest.
+    pub fn take_running(&self, slot: SlotKey, running: u32) {
+        let report = Report { time: self.now(), load: running, slots: 0, service: 0 };
+        self.lock().report(slot, report);
+    }
+
     /// Notes a failure that speaks against the endpoint.
     pub fn fail(&self, slot: SlotKey) {
         let now = self.now();
--- a/crates/bw-expert/src/switch/coordinator.rs
+++ b/crates/bw-expert/src/switch/coordinator.rs
@@ -376,7 +376,7 @@
     /// A rank with a new life obeys nobody until it is collected again.
     fn collect_again(&self, rank: u32, reason: Reason) -> Outbox {
         match reason {
-            Reason::OtherIncarnation | Reason::OtherBallot(_) | Reason::Unlearned => {
+            Reason::OtherIncarnation | Reason::OtherBallot(_) => {
                 vec![(rank, Message::Collect { ballot: self.ballot })]
             }
             _ => Vec::new(),
--- /dev/null
+++ b/crates/bw-measure/src/commands/requests.rs
@@ -0,0 +1,94 @@
+//! `requests`: what exploration covers, and the bounds on retries and on crashed endpoints.
+
+use argh::FromArgs;
+use bw_explore::explore;
+use bw_explore::once::Faults;
+use bw_explore::once::NoIncarnation;
+use bw_explore::once::NoTombstone;
+use bw_explore::once::OnceModel;
+use bw_explore::once::Sound;
+use bw_model::Incarnation;
+use bw_once::evidence::Standing;
+use bw_once::Crash;
+use bw_once::Evidence;
+use bw_route::RetryBudget;
+
+use crate::error::MeasureError;
+use crate::output::print_row;
+
+const STATES_MAX: usize = 400_000;
+const ENTRIES: usize = 8;
+
+/// states explored of requests that run once, retries under total failure, crashed endpoints
+#[derive(FromArgs, Debug)]
+#[argh(subcommand, name = "requests")]
+pub struct Requests {}
+
+impl Requests {
+    /// Runs the measurement.
+    ///
+    /// # Errors
+    /// An invariant that does not hold.
+    pub fn run(&self) -> Result<(), MeasureError> {
+        let faults =
+            Faults { timeouts: 1, repeats: 1, restarts: 1, outages: 1, leavings: 0, deaths: 0 };
+        let sound = explore(OnceModel::<Sound>::new(2, 2, faults), STATES_MAX);
+        if let Some(violation) = sound.violation() {
+            return Err(MeasureError::Check(violation));
+        }
+        print_row("states_explored", &[], sound.states, "states");
+        print_row("double_runs", &[], 0, "");
+        print_row("false_not_run", &[], 0, "");
+        print_row("crossed_answers", &[], 0, "");
+        let broken = explore(OnceModel::<NoTombstone>::new(2, 2, faults), STATES_MAX);
+        print_caught("no_tombstone", broken.states, broken.violation());
+        let broken = explore(OnceModel::<NoIncarnation>::new(2, 2, faults), STATES_MAX);
+        print_caught("no_incarnation", broken.states, broken.violation());
+        for requests in [100, 1_000, 10_000] {
+            let labels = [("requests", requests.to_string())];
+            let attempts = attempts_under_failure(requests);
+            print_row("attempts_per_request_total_failure", &labels, format!("{attempts:.3}"), "");
+        }
+        let labels = [("repeats", "one_after_another".to_string())];
+        print_row("poison_endpoints_lost", &labels, endpoints_lost(), "endpoints");
+        Ok(())
+    }
+}
+
+fn print_caught(variant: &str, states: usize, violation: Option<String>) {
+    let labels = [("variant", variant.to_string())];
+    let text = violation.map_or("not_caught".to_string(), |text| text.replace(' ', "_"));
+    print_row("broken_variant", &labels, text, &format!("after_{states}_states"));
+}
+
+/// Attempts for each request when every attempt fails, with up to three retries each.
+fn attempts_under_failure(requests: u32) -> f64 {
+    const RETRIES: usize = 3;
+    let mut budget = RetryBudget::default();
+    let retry = |_| (0..RETRIES).take_while(|_| budget.take()).count() + 1;
+    let attempts: usize = (0..requests).map(retry).sum();
+    attempts as f64 / f64::from(requests)
+}
+
+/// Endpoints that one request crashes when its caller repeats it at every entry in turn, and
+/// entries tell each other of a crash before they retry.
+fn endpoints_lost() -> u32 {
+    const FINGERPRINT: u64 = 7;
+    let mut entries = vec![Evidence::new(); ENTRIES];
+    let mut lost = 0;
+    for entry in 0..ENTRIES {
+        while entries[entry].standing(FINGERPRINT) != Standing::Quarantined {
+            lost += 1;
+            let crash = Crash {
+                endpoint: format!("group-{lost}"),
+                incarnation: Incarnation(1),
+                number: 1,
+                fingerprints: vec![FINGERPRINT],
+            };
+            entries.iter_mut().for_each(|evidence| {
+                evidence.record(&crash);
+            });
+        }
+    }
+    lost
+}
--- a/crates/bw-measure/src/main.rs
+++ b/crates/bw-measure/src/main.rs
@@ -3,8 +3,11 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use bw_measure::commands::ConfigSize;
+use bw_measure::commands::Control;
 use bw_measure::commands::Path;
 use bw_measure::commands::PlanTime;
+use bw_measure::commands::Requests;
 use bw_measure::commands::Session;
 use bw_measure::commands::Skew;
 
@@ -18,8 +21,11 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Config(ConfigSize),
+    Control(Control),
     Path(Path),
     Plan(PlanTime),
+    Requests(Requests),
     Session(Session),
     Skew(Skew),
 }
@@ -28,8 +34,11 @@
 async fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let result = match arguments.command {
+        Command::Config(config) => config.run(),
+        Command::Control(control) => control.run(),
         Command::Path(path) => path.run().await,
         Command::Plan(plan) => plan.run(),
+        Command::Requests(requests) => requests.run(),
         Command::Session(session) => session.run().await,
         Command::Skew(skew) => skew.run(),
     };
--- a/crates/bw-member/src/lib.rs
+++ b/crates/bw-member/src/lib.rs
@@ -13,3 +13,4 @@
 pub use beat::PeerState;
 pub use roster::Health;
 pub use roster::Roster;
+pub use roster::Spread;
--- a/crates/bw-member/tests/roster.rs
+++ b/crates/bw-member/tests/roster.rs
@@ -61,11 +61,11 @@
     let mut near = Roster::new(peer("entry-1"));
     let mut far = Roster::new(peer("entry-2"));
     near.take_beat(beat(1, 1, false), Duration::ZERO);
-    let digest = near.digest_for("entry-2");
+    let digest = near.digest_for("entry-2", Duration::ZERO);
     assert_eq!(far.take_digest(digest, Duration::ZERO).len(), 1);
-    assert!(near.digest_for("entry-2").beats.is_empty());
+    assert!(near.digest_for("entry-2", Duration::ZERO).beats.is_empty());
     near.forget_told("entry-2");
-    assert_eq!(near.digest_for("entry-2").beats.len(), 1);
+    assert_eq!(near.digest_for("entry-2", Duration::ZERO).beats.len(), 1);
 }
 
 #[test]
--- a/crates/bw-route/src/load.rs
+++ b/crates/bw-route/src/load.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadTrack {
     report: Option<Report>,
+    /// Mean service time of the last report that named one, in milliseconds.
+    service: u32,
     /// Own requests running there now.
     own: u32,
     /// Own requests running there when the report was measured.
@@ -44,6 +46,9 @@
             self.own_then = self.own_then.saturating_add_signed(i32::from(change));
             self.changes.pop_front();
         }
+        if report.service > 0 {
+            self.service = report.service;
+        }
         self.report = Some(report);
     }
 
@@ -72,8 +77,11 @@
 
     /// Mean service time in milliseconds.
     pub fn service(&self) -> f64 {
-        let known = self.report.filter(|report| report.service > 0);
-        known.map_or(SERVICE_DEFAULT, |report| f64::from(report.service))
+        if self.service > 0 {
+            f64::from(self.service)
+        } else {
+            SERVICE_DEFAULT
+        }
     }
 
     /// Forgets reports of an earlier life; own requests there have ended with it.
