--- a/crates/bw-agent/src/beat.rs
+++ b/crates/bw-agent/src/beat.rs
@@ -28,7 +28,7 @@
 
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time between two heartbeats of a rank that takes no requests, in heartbeats of one that does.
-const FOLLOWER_BEATS: u32 = 4;
+const FOLLOWER_BEATS: u32 = 6;
 /// Heartbeats without an answer after which the platform is asked for the configuration.
 const LONELY_BEATS: u64 = 10;
 
@@ -119,10 +119,14 @@
         Ok(())
     }
 
+    /// Whether this rank takes no requests, so that entries need not hear of it often.
+    fn is_follower(&self) -> bool {
+        self.viewer.current().is_some_and(|view| view.rank > 0)
+    }
+
     /// Time between two heartbeats of this rank.
     fn own_interval(&self) -> Duration {
-        let follower = self.viewer.current().is_some_and(|view| view.rank > 0);
-        self.interval * if follower { FOLLOWER_BEATS } else { 1 }
+        self.interval * if self.is_follower() { FOLLOWER_BEATS } else { 1 }
     }
 
     fn wait(&self) -> Duration {
@@ -143,9 +147,10 @@
             encode(&EntryRequest::Crashes(crashes.clone())).ok()
         };
         let mut answered = 0;
-        for pair in targets.chunks(BEAT_TARGETS) {
+        let hearers = if self.is_follower() { 1 } else { BEAT_TARGETS };
+        for group in targets.chunks(hearers) {
             let mut calls = Vec::new();
-            for entry in pair {
+            for entry in group {
                 calls.push(self.tell(*entry, &bytes, evidence.as_deref()));
             }
             let results = join_all(calls).await;
--- a/crates/bw-entry/src/queue.rs
+++ b/crates/bw-entry/src/queue.rs
@@ -24,8 +24,10 @@
 use crate::config::Config;
 use crate::routing::Routing;
 
-/// Time between two looks at the queues without another reason.
+/// Time between two looks at queues in which requests wait.
 const TICK: Duration = Duration::from_millis(20);
+/// Time between two looks at empty queues.
+const IDLE_TICK: Duration = Duration::from_secs(1);
 /// Shortest time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
 
@@ -121,6 +123,10 @@
             ticket,
         };
         self.pump();
+        if !self.is_empty() {
+            // The waiting loop may be asleep over an empty queue.
+            self.hurry();
+        }
         let result = receiver.await.unwrap_or(Err(TurnedAway(RETRY_AFTER_MIN)));
         drop(place);
         result
@@ -147,8 +153,10 @@
     /// None.
     pub async fn run(self, mut stop: Stop) -> Result<(), Infallible> {
         loop {
+            // An empty queue has nothing to shed; what arrives is looked at as it arrives.
+            let tick = if self.is_empty() { IDLE_TICK } else { TICK };
             tokio::select! {
-                () = tokio::time::sleep(TICK) => {}
+                () = tokio::time::sleep(tick) => {}
                 () = self.news.notified() => {}
                 () = stop.wait() => return Ok(()),
             }
--- a/crates/bw-measure/src/commands/control.rs
+++ b/crates/bw-measure/src/commands/control.rs
@@ -215,9 +215,9 @@
 
 /// Bytes a second at one entry of the heartbeats of ranks that take no requests.
 fn follower_bytes(size: Size) -> Result<f64, MeasureError> {
-    const INTERVAL_SECONDS: f64 = 2.0;
+    const INTERVAL_SECONDS: f64 = 3.0;
     let beat = Beat { load: None, ..gate_beat(10_000, 1 << 20, false) };
-    let bytes = wire_bytes(&EntryRequest::Beat(beat))? * HEARERS as u64;
+    let bytes = wire_bytes(&EntryRequest::Beat(beat))?;
     let followers = size.servers.saturating_sub(size.gates) as f64;
     Ok(followers * bytes as f64 / INTERVAL_SECONDS / size.entries as f64)
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -87,6 +87,7 @@
 http = $(value "$inventory" "entry $name" http)
 link = $(value "$inventory" "entry $name" link)
 platform = $platform
+digest-ms = ${digest_ms:-500}
 EOF
     launch "$name" "$bin/bw-entry" "$run/$name.ini"
 }
