--- a/crates/bw-conf/src/fleet.rs
+++ b/crates/bw-conf/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Builds the checked fleet from the sections of inventory and rules.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use bw_model::fleet::Balance;
@@ -61,6 +62,9 @@
     endpoints: HashMap<String, EndpointKey>,
     workspaces: HashMap<String, WorkspaceKey>,
     links: HashMap<SocketAddr, String>,
+    /// Instances that some endpoint has.
+    ranks: HashSet<InstanceKey>,
+    tokens: HashSet<String>,
 }
 
 struct Builder {
@@ -253,10 +257,12 @@
 
     fn push_endpoint(&mut self, section: &Section<'_>, endpoint: Endpoint) {
         let name = endpoint.name.to_string();
-        let taken = endpoint.ranks.iter().copied().find(|rank| {
-            let mut others = self.fleet.endpoints.iter();
-            others.any(|(_, other)| other.ranks.contains(rank))
-        });
+        let mut taken = None;
+        for rank in &endpoint.ranks {
+            if !self.names.ranks.insert(*rank) {
+                taken.get_or_insert(*rank);
+            }
+        }
         if let Some(rank) = taken {
             let instance = self.fleet.instances[rank].name.to_string();
             let expected = "an instance that no other group or service has";
@@ -353,7 +359,7 @@
     fn check_token(&mut self, section: &Section<'_>, token: &str) -> bool {
         let digits = token.len() == TOKEN_DIGITS
             && token.bytes().all(|byte| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte));
-        let taken = self.fleet.workspace(token).is_some();
+        let taken = !self.names.tokens.insert(token.to_string());
         if !digits {
             let expected = "64 hexadecimal digits; see bwctl token";
             section.fault_reference("token-hash", token, expected, &mut self.faults);
--- a/crates/bw-member/src/roster.rs
+++ b/crates/bw-member/src/roster.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bw_model::Incarnation;
+use bw_model::Version;
 
 use crate::beat::Beat;
 use crate::beat::Digest;
@@ -67,8 +68,12 @@
     fn leaving(&self) -> bool;
     fn set_leaving(&mut self);
     fn quiet_after(&self) -> Duration;
+    fn version(&self) -> Version;
+
     /// Whether it says nothing new but its number and load.
-    fn is_routine_after(&self, held: &Self) -> bool;
+    fn is_routine_after(&self, held: &Self) -> bool {
+        self.leaving() == held.leaving() && self.version() == held.version()
+    }
 }
 
 impl Record for Beat {
@@ -93,8 +98,8 @@
         QUIET_AFTER.max(interval * MISSED_BEATS)
     }
 
-    fn is_routine_after(&self, held: &Self) -> bool {
-        self.leaving == held.leaving && self.version == held.version
+    fn version(&self) -> Version {
+        self.version
     }
 }
 
@@ -119,8 +124,8 @@
         QUIET_AFTER
     }
 
-    fn is_routine_after(&self, held: &Self) -> bool {
-        self.leaving == held.leaving && self.version == held.version
+    fn version(&self) -> Version {
+        self.version
     }
 }
 
