Try entries that did not answer after the others

Cause: an agent whose first entry had left waited a second for it at each heartbeat, so a change was seen as in force late.

Change: an entry that did not answer goes last for 15 s.

--- a/crates/bw-agent/src/beat.rs
+++ b/crates/bw-agent/src/beat.rs
@@ -1,5 +1,6 @@
 //! Heartbeats to entries.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 use futures::future::join_all;
 use log::warn;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::attempts::Attempts;
 use crate::runner::ServiceTime;
@@ -29,6 +31,8 @@
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 /// Time between two heartbeats of a rank that takes no requests, in heartbeats of one that does.
 const FOLLOWER_BEATS: u32 = 6;
+/// Time for which an entry that did not answer is tried after the others.
+const SILENT_FOR: Duration = Duration::from_secs(15);
 /// Heartbeats without an answer after which the platform is asked for the configuration.
 const LONELY_BEATS: u64 = 10;
 
@@ -51,6 +55,31 @@
     pub time: ServiceTime,
     /// Crashes not yet told.
     pub crashes: Crashes,
+    /// Entries that did not answer lately.
+    pub silent: SilentEntries,
+}
+
+/// Entries that did not answer, with the time of the last try.
+#[derive(Clone, Default)]
+pub struct SilentEntries {
+    times: Arc<Mutex<HashMap<SocketAddr, Instant>>>,
+}
+
+impl SilentEntries {
+    fn note(&self, entry: SocketAddr, answered: bool) {
+        let mut times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
+        if answered {
+            times.remove(&entry);
+        } else {
+            times.insert(entry, Instant::now());
+        }
+    }
+
+    /// Whether an entry was silent so lately that others go first.
+    fn contains(&self, entry: &SocketAddr) -> bool {
+        let times = self.times.lock().unwrap_or_else(PoisonError::into_inner);
+        times.get(entry).is_some_and(|time| time.elapsed() < SILENT_FOR)
+    }
 }
 
 /// Crashes that entries have to be told of.
@@ -170,9 +199,9 @@
             // The heartbeat that follows tells whether the entry can be reached.
             let _ = self.pool.call(entry, bytes, CALL_LIMIT).await;
         }
-        let Ok(reply) = self.pool.call(entry, beat, CALL_LIMIT).await else {
-            return false;
-        };
+        let reply = self.pool.call(entry, beat, CALL_LIMIT).await;
+        self.silent.note(entry, reply.is_ok());
+        let Ok(reply) = reply else { return false };
         let Ok(EntryReply::Version(version)) = decode(&reply) else {
             return false;
         };
@@ -183,10 +212,12 @@
     }
 
     fn targets(&self) -> Vec<SocketAddr> {
-        match self.viewer.current() {
+        let mut targets = match self.viewer.current() {
             Some(view) => view.entries.clone(),
             None => self.seeds.clone(),
-        }
+        };
+        targets.sort_by_key(|entry| self.silent.contains(entry));
+        targets
     }
 
     fn beat(&self, seq: u64) -> Beat {
--- a/crates/bw-agent/src/main.rs
+++ b/crates/bw-agent/src/main.rs
@@ -7,6 +7,7 @@
 use bw_agent::attempts::Attempts;
 use bw_agent::beat::Beater;
 use bw_agent::beat::Crashes;
+use bw_agent::beat::SilentEntries;
 use bw_agent::experts::Experts;
 use bw_agent::link::AgentHandler;
 use bw_agent::runner::Runner;
@@ -120,6 +121,7 @@
         viewer,
         time,
         crashes: crashes.clone(),
+        silent: SilentEntries::default(),
     };
     kernel.start("beat", |stop| beater.run(stop));
     kernel.start("drain", |stop| bw_agent::drain::run(attempts, crashes, stop));
