Count violations instead of printing zeros, share the engine's rules

Cause: a reading of the whole change.

Change: the rows are counted from the violation that exploration found, by names that the model and the measurement share, and are printed before the check ends the run. EngineState::follow holds the engine's rules once. The golden sessions are unchanged under the stricter form.

The stand-in's engine keeps its own copy, since it holds maps rather than their versions.

--- a/crates/bw-expert/src/message.rs
+++ b/crates/bw-expert/src/message.rs
@@ -58,6 +58,46 @@
     Discard(MapVersion),
 }
 
+impl EngineState {
+    /// Carries out an order as an engine must; false when it does not take it.
+    pub fn follow(&mut self, order: EngineOrder) -> bool {
+        match order {
+            EngineOrder::Load(map) => {
+                if !self.loaded.contains(&map.version) {
+                    self.loaded.push(map.version);
+                }
+                true
+            }
+            EngineOrder::Hold(hold) => {
+                let free = self.hold.is_none() && self.step <= hold.step;
+                if free {
+                    self.hold = Some(hold);
+                }
+                free
+            }
+            EngineOrder::Schedule(hold) => {
+                let held = self.hold == Some(hold);
+                if held {
+                    self.hold = None;
+                    self.scheduled = Some(hold);
+                }
+                held
+            }
+            EngineOrder::Release(hold) => {
+                if self.hold == Some(hold) {
+                    self.hold = None;
+                }
+                true
+            }
+            EngineOrder::Discard(version) => {
+                let free = self.map != version;
+                self.loaded.retain(|loaded| !free || *loaded != version);
+                free
+            }
+        }
+    }
+}
+
 /// Why a rank refuses a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Reason {
--- a/crates/bw-explore/src/once.rs
+++ b/crates/bw-explore/src/once.rs
@@ -23,6 +23,18 @@
 
 use crate::search::Model;
 
+/// Violation: two attempts ran.
+pub const RAN_TWICE: &str = "the request ran twice";
+
+/// Violation: an attempt ran after its caller had a "not run".
+pub const RAN_LATE: &str = "an attempt ran after its caller was told that it did not run";
+
+/// Violation: a "not run" was not true.
+pub const FALSE_NOT_RUN: &str = "a request that ran was said not to have run";
+
+/// Violation: an answer went astray.
+pub const CROSSED_ANSWER: &str = "a caller got the answer of another attempt";
+
 /// How agents follow the protocol; broken variants leave something out.
 pub trait Rules: Clone + Eq + std::hash::Hash {
     /// Handles a dispatch.
@@ -235,13 +247,13 @@
 
     fn check_runs(&mut self, attempt: AttemptId) {
         if self.ran.len() > 1 {
-            self.broken = Some("the request ran twice");
+            self.broken = Some(RAN_TWICE);
         }
         let denied = self.callers.iter().flatten().any(|caller| {
             matches!(caller.outcome, Some(Outcome::NotRun(_))) && caller.attempts.contains(&attempt)
         });
         if denied {
-            self.broken = Some("an attempt ran after its caller was told that it did not run");
+            self.broken = Some(RAN_LATE);
         }
     }
 
@@ -296,10 +308,10 @@
         let own_ran = state.attempts.iter().any(|attempt| self.ran.contains(attempt));
         match state.outcome {
             Some(Outcome::NotRun(_)) if own_ran || !state.unrun => {
-                self.broken = Some("a request that ran was said not to have run");
+                self.broken = Some(FALSE_NOT_RUN);
             }
             Some(Outcome::Whole) if state.joined != self.ran.first().copied() => {
-                self.broken = Some("a caller got the answer of another attempt");
+                self.broken = Some(CROSSED_ANSWER);
             }
             _ => {}
         }
--- a/crates/bw-explore/src/switch.rs
+++ b/crates/bw-explore/src/switch.rs
@@ -11,7 +11,6 @@
 
 use bw_expert::switch::Phase;
 use bw_expert::Coordinator;
-use bw_expert::EngineOrder;
 use bw_expert::EngineState;
 use bw_expert::ExpertMap;
 use bw_expert::Message;
@@ -316,7 +315,7 @@
             readdressed(message, node.agent.incarnation())
         };
         let action = node.agent.handle(&message, &node.engine);
-        let taken = action.order.is_none_or(|order| follow(&mut node.engine, order));
+        let taken = action.order.is_none_or(|order| node.engine.follow(order));
         if taken {
             action.done
         } else {
@@ -530,44 +529,6 @@
     }
 }
 
-/// Carries out an order; false when the engine does not take it.
-fn follow(engine: &mut EngineState, order: EngineOrder) -> bool {
-    match order {
-        EngineOrder::Load(map) => {
-            if !engine.loaded.contains(&map.version) {
-                engine.loaded.push(map.version);
-            }
-            true
-        }
-        EngineOrder::Hold(hold) => {
-            let free = engine.hold.is_none() && engine.step <= hold.step;
-            if free {
-                engine.hold = Some(hold);
-            }
-            free
-        }
-        EngineOrder::Schedule(hold) => {
-            let held = engine.hold == Some(hold);
-            if held {
-                engine.hold = None;
-                engine.scheduled = Some(hold);
-            }
-            held
-        }
-        EngineOrder::Release(hold) => {
-            if engine.hold == Some(hold) {
-                engine.hold = None;
-            }
-            true
-        }
-        EngineOrder::Discard(version) => {
-            let free = engine.map != version;
-            engine.loaded.retain(|loaded| !free || *loaded != version);
-            free
-        }
-    }
-}
-
 /// The message as if it were meant for `incarnation`.
 fn readdressed(message: &Message, incarnation: Incarnation) -> Message {
     let mut message = message.clone();
--- a/crates/bw-golden/src/switch.rs
+++ b/crates/bw-golden/src/switch.rs
@@ -3,7 +3,6 @@
 use bw_expert::switch::Event;
 use bw_expert::switch::Phase;
 use bw_expert::Coordinator;
-use bw_expert::EngineOrder;
 use bw_expert::EngineState;
 use bw_expert::ExpertMap;
 use bw_expert::Message;
@@ -143,7 +142,7 @@
     fn hand(&mut self, rank: usize, message: &Message) -> Option<Message> {
         let node = &mut self.nodes[rank];
         let action = node.agent.handle(message, &node.engine);
-        let taken = action.order.is_none_or(|order| follow(&mut node.engine, order));
+        let taken = action.order.is_none_or(|order| node.engine.follow(order));
         if taken {
             action.done
         } else {
@@ -220,25 +219,6 @@
     engine.map
 }
 
-fn follow(engine: &mut EngineState, order: EngineOrder) -> bool {
-    match order {
-        EngineOrder::Load(map) => engine.loaded.push(map.version),
-        EngineOrder::Hold(hold) => {
-            if engine.hold.is_some() || engine.step > hold.step {
-                return false;
-            }
-            engine.hold = Some(hold);
-        }
-        EngineOrder::Schedule(hold) => {
-            engine.hold = None;
-            engine.scheduled = Some(hold);
-        }
-        EngineOrder::Release(_) => engine.hold = None,
-        EngineOrder::Discard(version) => engine.loaded.retain(|loaded| *loaded != version),
-    }
-    true
-}
-
 fn event_line(event: &Event) -> String {
     match event {
         Event::Collected => "all ranks have reported".to_string(),
--- a/crates/bw-measure/src/commands/requests.rs
+++ b/crates/bw-measure/src/commands/requests.rs
@@ -7,6 +7,10 @@
 use bw_explore::once::NoTombstone;
 use bw_explore::once::OnceModel;
 use bw_explore::once::Sound;
+use bw_explore::once::CROSSED_ANSWER;
+use bw_explore::once::FALSE_NOT_RUN;
+use bw_explore::once::RAN_LATE;
+use bw_explore::once::RAN_TWICE;
 use bw_model::Incarnation;
 use bw_once::evidence::Standing;
 use bw_once::Crash;
@@ -18,6 +22,13 @@
 
 const STATES_MAX: usize = 400_000;
 const ENTRIES: usize = 8;
+/// Names of results with the violations that they count.
+const INVARIANTS: [(&str, &str); 4] = [
+    ("double_runs", RAN_TWICE),
+    ("false_not_run", FALSE_NOT_RUN),
+    ("late_runs", RAN_LATE),
+    ("crossed_answers", CROSSED_ANSWER),
+];
 
 /// states explored of requests that run once, retries under total failure, crashed endpoints
 #[derive(FromArgs, Debug)]
@@ -33,13 +44,14 @@
         let faults =
             Faults { timeouts: 1, repeats: 1, restarts: 1, outages: 1, leavings: 0, deaths: 0 };
         let sound = explore(OnceModel::<Sound>::new(2, 2, faults), STATES_MAX);
-        if let Some(violation) = sound.violation() {
+        print_row("states_explored", &[], sound.states, "states");
+        let violation = sound.violation();
+        for (name, text) in INVARIANTS {
+            print_row(name, &[], u32::from(violation.as_deref() == Some(text)), "");
+        }
+        if let Some(violation) = violation {
             return Err(MeasureError::Check(violation));
         }
-        print_row("states_explored", &[], sound.states, "states");
-        print_row("double_runs", &[], 0, "");
-        print_row("false_not_run", &[], 0, "");
-        print_row("crossed_answers", &[], 0, "");
         let broken = explore(OnceModel::<NoTombstone>::new(2, 2, faults), STATES_MAX);
         print_caught("no_tombstone", broken.states, broken.violation());
         let broken = explore(OnceModel::<NoIncarnation>::new(2, 2, faults), STATES_MAX);
