Serve callers through a gateway whose endpoints speak HTTP themselves

Cause: on the users' platform endpoints are plain HTTP servers that list themselves in the platform's store; bw-entry reaches endpoints through agents only. Ruled out: an agent beside each endpoint as a hop (one more connection and process for each request; the endpoint checks the instance that a request means and says when it did not run, which is what the agent's gate gave). Change: platform/ (names, formats, calls), bw-direct (catalog, endpoints, attempts, event cutting, repeat budget, peers; no I/O), bw-gateway (the process), deploy/. The kernel handles SIGHUP and no longer polls its services; BootClock counts suspension.

--- /dev/null
+++ b/crates/bw-direct/src/lib.rs
@@ -0,0 +1,14 @@
+//! Decisions for endpoints that are reached over HTTP directly, without I/O.
+//!
+//! Times are spans since the process started, counted through suspensions.
+
+pub mod attempts;
+pub mod budget;
+pub mod catalog;
+pub mod endpoint;
+pub mod events;
+pub mod load;
+pub mod peers;
+pub mod request;
+
+pub use catalog::Catalog;
--- /dev/null
+++ b/crates/bw-direct/src/peers.rs
@@ -0,0 +1,171 @@
+//! The entries of the deployment as one of them sees the others.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bw_member::PeerState;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::load::Work;
+
+/// Silence after which callers are no longer sent to a peer.
+pub const LIVE_FOR: Duration = Duration::from_millis(1_200);
+/// Silence after which a peer is told no more news.
+const FORGET_AFTER: Duration = Duration::from_secs(20);
+
+/// Where an entry can be reached.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerAddress {
+    /// Instance of the entry.
+    pub instance: String,
+    /// Data centre that it stands in.
+    pub centre: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for news of other entries.
+    pub news: SocketAddr,
+}
+
+/// Work at an endpoint, by a hash of the endpoint's name.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WorkNews {
+    /// Hash of the endpoint's name.
+    pub endpoint: u64,
+    /// Requests of the sender that run or wait there.
+    pub requests: u32,
+    /// Their prompt tokens that are not yet read.
+    pub prompt: u32,
+}
+
+impl WorkNews {
+    /// The work without the endpoint.
+    pub fn work(&self) -> Work {
+        Work { requests: self.requests, prompt: self.prompt }
+    }
+}
+
+/// What one entry tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// State of the sender.
+    pub state: PeerState,
+    /// Where the sender can be reached.
+    pub address: PeerAddress,
+    /// Whether callers should be sent to it.
+    pub ready: bool,
+    /// Age in milliseconds of the sender's proof that its configuration is the newest.
+    pub proof: Option<u32>,
+    /// Work of the sender at endpoints.
+    pub works: Vec<WorkNews>,
+    /// Other entries that the sender knows; only in some of the news.
+    pub others: Vec<PeerAddress>,
+}
+
+/// One peer.
+#[derive(Clone, Debug)]
+struct Peer {
+    address: PeerAddress,
+    state: Option<PeerState>,
+    ready: bool,
+    heard: Option<Duration>,
+    /// When it was first named.
+    named: Duration,
+}
+
+impl Peer {
+    fn is_live(&self, now: Duration) -> bool {
+        let leaving = self.state.as_ref().is_some_and(|state| state.leaving);
+        !leaving && self.ready && self.heard.is_some_and(|at| now.saturating_sub(at) <= LIVE_FOR)
+    }
+
+    fn is_worth_telling(&self, now: Duration) -> bool {
+        now.saturating_sub(self.heard.unwrap_or(self.named)) <= FORGET_AFTER
+    }
+}
+
+/// How news was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Heard {
+    /// Older than what is known.
+    Stale,
+    /// Newer news of a known peer.
+    Known,
+    /// First news of a peer, or of its new life.
+    First,
+}
+
+/// All other entries.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    peers: BTreeMap<String, Peer>,
+    own: String,
+}
+
+impl Peers {
+    /// No peers yet of the entry on instance `own`.
+    pub fn new(own: String) -> Self {
+        Self { peers: BTreeMap::new(), own }
+    }
+
+    /// Notes that an entry exists, as the store or a peer says.
+    pub fn name(&mut self, address: PeerAddress, now: Duration) {
+        if address.instance == self.own {
+            return;
+        }
+        let peer = Peer { address, state: None, ready: false, heard: None, named: now };
+        self.peers.entry(peer.address.instance.clone()).or_insert(peer);
+    }
+
+    /// Takes news from the peer itself.
+    pub fn hear(&mut self, news: &News, now: Duration) -> Heard {
+        let instance = &news.state.instance;
+        if *instance == self.own {
+            return Heard::Stale;
+        }
+        let known = self.peers.get(instance).and_then(|peer| peer.state.as_ref());
+        let same_life = known.is_some_and(|state| state.incarnation == news.state.incarnation);
+        if same_life && known.is_some_and(|state| state.seq >= news.state.seq) {
+            return Heard::Stale;
+        }
+        let peer = Peer {
+            address: news.address.clone(),
+            state: Some(news.state.clone()),
+            ready: news.ready,
+            heard: Some(now),
+            named: now,
+        };
+        self.peers.insert(instance.clone(), peer);
+        for other in &news.others {
+            self.name(other.clone(), now);
+        }
+        if same_life {
+            Heard::Known
+        } else {
+            Heard::First
+        }
+    }
+
+    /// Addresses for news of all peers that may be alive.
+    pub fn news_addresses(&self, now: Duration) -> Vec<SocketAddr> {
+        let worth = self.peers.values().filter(|peer| peer.is_worth_telling(now));
+        worth.map(|peer| peer.address.news).collect()
+    }
+
+    /// Addresses of all peers that may be alive, to be told to others.
+    pub fn addresses(&self, now: Duration) -> Vec<PeerAddress> {
+        let worth = self.peers.values().filter(|peer| peer.is_worth_telling(now));
+        worth.map(|peer| peer.address.clone()).collect()
+    }
+
+    /// Peers that callers may be sent to.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &PeerAddress> {
+        self.peers.values().filter(move |peer| peer.is_live(now)).map(|peer| &peer.address)
+    }
+
+    /// Number of entries believed to be alive, this one included.
+    pub fn live_count(&self, now: Duration) -> usize {
+        1 + self.live(now).count()
+    }
+}
--- /dev/null
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -0,0 +1,304 @@
+//! The shared table of endpoints with their load, records of failures and connections.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bw_direct::endpoint::Endpoint;
+use bw_direct::endpoint::EndpointKey;
+use bw_direct::endpoint::Noted;
+use bw_direct::endpoint::Table;
+use bw_direct::load::choose;
+use bw_direct::load::Candidate;
+use bw_direct::load::Loads;
+use bw_direct::load::Work;
+use bw_direct::peers::WorkNews;
+use bw_http::Channel;
+use bw_model::hash::rendezvous_weight;
+use bw_model::Key;
+use bw_route::eject::Ejection;
+use log::info;
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use smallvec::SmallVec;
+
+/// Idle connections kept to one endpoint.
+const IDLE_MAX: usize = 4;
+/// Idle time that an endpoint is taken to allow where it tells none.
+const IDLE_DEFAULT: Duration = Duration::from_secs(4);
+/// Margin before an idle connection's end, within which it is not used any more.
+const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
+
+/// An idle connection.
+struct Idle {
+    channel: Channel,
+    until: Duration,
+}
+
+/// What is kept for each endpoint beside the table.
+#[derive(Default)]
+struct Side {
+    ejection: Ejection,
+    idle: Vec<Idle>,
+    hash: u64,
+}
+
+struct State {
+    table: Table,
+    loads: Loads,
+    sides: Vec<Side>,
+    hashes: HashMap<u64, EndpointKey>,
+    random: SmallRng,
+}
+
+/// An endpoint that was chosen for a request.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Work there before this request.
+    pub work: Work,
+    /// Endpoints that were looked at.
+    pub candidates: usize,
+}
+
+/// All endpoints as the gateway's services share them.
+#[derive(Clone)]
+pub struct Endpoints {
+    state: Arc<Mutex<State>>,
+    centre: String,
+}
+
+impl Endpoints {
+    /// No endpoints, seen from data centre `centre`.
+    pub fn new(centre: String, seed: u64) -> Self {
+        let state = State {
+            table: Table::new(),
+            loads: Loads::default(),
+            sides: Vec::new(),
+            hashes: HashMap::new(),
+            random: SmallRng::seed_from_u64(seed),
+        };
+        Self { state: Arc::new(Mutex::new(state)), centre }
+    }
+
+    /// Takes the whole list.
+    pub fn replace(&self, list: Vec<Endpoint>, now: Duration) {
+        let mut state = self.lock();
+        for (key, noted) in state.table.replace(list, now) {
+            state.follow(key, noted, now);
+        }
+    }
+
+    /// Takes one entry of the list.
+    pub fn upsert(&self, endpoint: Endpoint, now: Duration) {
+        let mut state = self.lock();
+        let (key, noted) = state.table.upsert(endpoint);
+        state.follow(key, noted, now);
+    }
+
+    /// Takes the removal of an entry, or an entry that cannot be read.
+    pub fn remove(&self, name: &str, now: Duration) {
+        let mut state = self.lock();
+        let noted = state.table.remove(name, now);
+        if let Some(key) = state.table.find(name) {
+            state.follow(key, noted, now);
+        }
+    }
+
+    /// Notes that the store does not answer.
+    pub fn note_source_down(&self) {
+        self.lock().table.note_source_down();
+    }
+
+    /// Notes that the store answers; true when it had been away.
+    pub fn note_source_up(&self, now: Duration) -> bool {
+        self.lock().table.note_source_up(now)
+    }
+
+    /// Endpoints that are known.
+    pub fn len(&self) -> usize {
+        self.lock().table.len()
+    }
+
+    /// True when none is known.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Chooses an endpoint of a service and counts the request there.
+    pub fn choose(
+        &self,
+        service: &str,
+        exclude: &[EndpointKey],
+        prompt: u32,
+        now: Duration,
+    ) -> Option<Chosen> {
+        let mut state = self.lock();
+        let state = &mut *state;
+        let usable: SmallVec<[EndpointKey; 16]> =
+            state.table.usable(service, now).filter(|key| !exclude.contains(key)).collect();
+        let healthy: SmallVec<[EndpointKey; 16]> =
+            usable.iter().copied().filter(|key| !state.is_ejected(*key, now)).collect();
+        let keys = if healthy.len() * 2 >= usable.len() { healthy } else { usable };
+        let totals = state.loads.total(&keys, now);
+        let candidates: SmallVec<[Candidate; 16]> = keys
+            .iter()
+            .zip(totals)
+            .filter_map(|(key, work)| {
+                let endpoint = &state.table.get(*key)?.endpoint;
+                Some(Candidate {
+                    key: *key,
+                    slots: endpoint.slots,
+                    work,
+                    far: endpoint.centre != self.centre,
+                    slowness: state.sides[key.index()].ejection.load_factor(now),
+                })
+            })
+            .collect();
+        let best = choose(&candidates, &mut state.random)?;
+        state.loads.start(best.key, prompt);
+        let endpoint = &state.table.get(best.key)?.endpoint;
+        Some(Chosen {
+            key: best.key,
+            name: endpoint.name.clone(),
+            address: endpoint.address,
+            work: best.work,
+            candidates: candidates.len(),
+        })
+    }
+
+    /// Notes that a request began to answer.
+    pub fn answer(&self, key: EndpointKey, prompt: u32) {
+        self.lock().loads.answer(key, prompt);
+    }
+
+    /// Notes that a request ended at an endpoint.
+    pub fn finish(&self, key: EndpointKey, prompt: u32) {
+        self.lock().loads.finish(key, prompt);
+    }
+
+    /// Notes a whole answer.
+    pub fn succeed(&self, key: EndpointKey) {
+        self.lock().sides[key.index()].ejection.succeed();
+    }
+
+    /// Notes a failure that speaks against the endpoint.
+    pub fn fail(&self, key: EndpointKey, now: Duration) {
+        self.lock().sides[key.index()].ejection.fail(now);
+    }
+
+    /// Takes an endpoint out of use because it is another one or leaving.
+    pub fn bar(&self, key: EndpointKey) {
+        let mut state = self.lock();
+        state.table.bar(key);
+        state.sides[key.index()].idle.clear();
+    }
+
+    /// Whether an endpoint may get new work.
+    pub fn is_usable(&self, key: EndpointKey, now: Duration) -> bool {
+        self.lock().table.is_usable(key, now)
+    }
+
+    /// Takes an idle connection.
+    pub fn take_idle(&self, key: EndpointKey, now: Duration) -> Option<Channel> {
+        let mut state = self.lock();
+        let idle = &mut state.sides[key.index()].idle;
+        while let Some(one) = idle.pop() {
+            if one.channel.is_ready() && now < one.until {
+                return Some(one.channel);
+            }
+        }
+        None
+    }
+
+    /// Gives a connection back that can take another request.
+    pub fn give_idle(
+        &self,
+        key: EndpointKey,
+        channel: Channel,
+        idle: Option<Duration>,
+        now: Duration,
+    ) {
+        let until = now + idle.unwrap_or(IDLE_DEFAULT).saturating_sub(IDLE_MARGIN);
+        let mut state = self.lock();
+        if until <= now || !state.table.is_usable(key, now) {
+            return;
+        }
+        let kept = &mut state.sides[key.index()].idle;
+        kept.retain(|one| now < one.until);
+        if kept.len() < IDLE_MAX {
+            kept.push(Idle { channel, until });
+        }
+    }
+
+    /// Own work, for the news to peers.
+    pub fn news(&self) -> Vec<WorkNews> {
+        let state = self.lock();
+        let news = |(index, work): (usize, Work)| WorkNews {
+            endpoint: state.sides[index].hash,
+            requests: work.requests,
+            prompt: work.prompt,
+        };
+        state.loads.own().map(news).collect()
+    }
+
+    /// Takes a peer's work.
+    pub fn hear(&self, peer: &str, works: &[WorkNews], now: Duration) {
+        let mut state = self.lock();
+        let known = works
+            .iter()
+            .filter_map(|news| Some((*state.hashes.get(&news.endpoint)?, news.work())))
+            .collect();
+        state.loads.hear(peer, known, now);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Follows a change of the table in what is kept beside it, and logs it.
+    fn follow(&mut self, key: EndpointKey, noted: Noted, now: Duration) {
+        while self.sides.len() < self.table.len() {
+            let key = Table::key_at(self.sides.len());
+            let name = self.table.get(key).map_or("", |slot| &slot.endpoint.name);
+            let hash = rendezvous_weight("endpoint", name);
+            self.hashes.insert(hash, key);
+            self.sides.push(Side { hash, ..Side::default() });
+        }
+        let Some(slot) = self.table.get(key) else { return };
+        let side = &mut self.sides[key.index()];
+        match noted {
+            Noted::Same => return,
+            Noted::Restarted => {
+                side.idle.clear();
+                side.ejection.restart(now);
+            }
+            Noted::Removed => side.idle.clear(),
+            Noted::Added | Noted::Changed | Noted::Lapsed => {}
+        }
+        let endpoint = &slot.endpoint;
+        info!(
+            "event=endpoint change={noted:?} endpoint={} service={} address={} born={} at_ms={}",
+            endpoint.name,
+            endpoint.service,
+            endpoint.address,
+            endpoint.born,
+            now.as_millis()
+        );
+    }
+
+    fn is_ejected(&self, key: EndpointKey, now: Duration) -> bool {
+        self.sides.get(key.index()).is_some_and(|side| side.ejection.is_ejected(now))
+    }
+}
--- /dev/null
+++ b/crates/bw-gateway/src/lib.rs
@@ -0,0 +1,15 @@
+//! The gateway: takes callers' requests to endpoints that are reached over HTTP directly.
+
+pub mod config;
+pub mod endpoints;
+pub mod error;
+pub mod forward;
+pub mod frontend;
+pub mod peers;
+pub mod reply;
+pub mod settings;
+pub mod sync;
+pub mod web;
+
+pub use error::GatewayError;
+pub use settings::Settings;
--- /dev/null
+++ b/crates/bw-gateway/src/main.rs
@@ -0,0 +1,185 @@
+//! `bw-gateway`: the process on each entry instance whose endpoints speak HTTP themselves.
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use argh::FromArgs;
+use bw_adapter::ObjectClient;
+use bw_conf::IniFile;
+use bw_direct::budget::Allowance;
+use bw_direct::budget::RepeatBudget;
+use bw_direct::peers::PeerAddress;
+use bw_gateway::config::Config;
+use bw_gateway::endpoints::Endpoints;
+use bw_gateway::forward::Forwarder;
+use bw_gateway::peers::Gossip;
+use bw_gateway::peers::PeerNews;
+use bw_gateway::sync::Sync;
+use bw_gateway::web;
+use bw_gateway::GatewayError;
+use bw_gateway::Settings;
+use bw_kernel::unix_millis;
+use bw_kernel::BootClock;
+use bw_kernel::Kernel;
+use bw_kernel::Metrics;
+use bw_member::PeerState;
+use bw_model::Incarnation;
+use bw_model::Version;
+use tokio::net::UdpSocket;
+
+/// Part of the time after which a revoked key opens nothing that a proof's age may reach; the rest
+/// covers a request that is on its way to an endpoint.
+const PROOF_PART: f64 = 0.8;
+/// Time between two looks at what readiness depends on.
+const READY_PAUSE: Duration = Duration::from_millis(250);
+/// Time before the platform's kill at which a stop gives up open requests.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Answers callers and takes their requests to endpoints over HTTP.
+#[derive(FromArgs)]
+struct Arguments {
+    /// print the version and exit
+    #[argh(switch)]
+    version: bool,
+    /// check the settings and exit
+    #[argh(switch)]
+    check: bool,
+    /// settings file
+    #[argh(positional)]
+    settings: Option<PathBuf>,
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let arguments: Arguments = argh::from_env();
+    if arguments.version {
+        println!("bw-gateway {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    match run(&arguments).await {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bw-gateway: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(arguments: &Arguments) -> Result<(), GatewayError> {
+    let Some(path) = &arguments.settings else {
+        let error = std::io::Error::other("a settings file is needed; see --help");
+        return Err(GatewayError::Io(error));
+    };
+    let settings = read_settings(path)?;
+    if arguments.check {
+        println!("{}: ok", path.display());
+        return Ok(());
+    }
+    bw_kernel::logging::start_logger(settings.instance.as_str(), &settings.log);
+    serve(settings).await
+}
+
+fn read_settings(path: &Path) -> Result<Settings, GatewayError> {
+    let file = path.display().to_string();
+    let bytes = std::fs::read(path)
+        .map_err(|error| std::io::Error::new(error.kind(), format!("{file}: {error}")))?;
+    let ini = IniFile::parse_bytes(&file, &bytes)?;
+    Ok(Settings::try_from((file.as_str(), &ini))?)
+}
+
+async fn serve(settings: Settings) -> Result<(), GatewayError> {
+    let clock = BootClock::start();
+    let metrics = Metrics::default();
+    let mut kernel = Kernel::new();
+    let instance = settings.instance.to_string();
+    let address = PeerAddress {
+        instance: instance.clone(),
+        centre: settings.centre.to_string(),
+        callers: settings.callers,
+        news: settings.news,
+    };
+    let life = Incarnation((unix_millis() << 20) | u64::from(rand::random::<u16>()));
+    let own =
+        PeerState { instance, incarnation: life, seq: 0, leaving: false, version: Version(0) };
+    let peers = PeerNews::new(address.clone(), own);
+    let config = Config::default();
+    let endpoints = Endpoints::new(settings.centre.to_string(), rand::random());
+    let store = ObjectClient::new(&settings.platform);
+    let proof_age_max = settings.revoke.mul_f64(PROOF_PART);
+    let allowance =
+        Allowance { ratio: settings.ratio, slack: settings.slack, window: settings.window };
+    let forwarder = Forwarder {
+        config: config.clone(),
+        endpoints: endpoints.clone(),
+        peers: peers.clone(),
+        budget: Arc::new(Mutex::new(RepeatBudget::new(allowance))),
+        clock,
+        proof_age_max,
+    };
+    let readiness = web::Readiness {
+        config: config.clone(),
+        endpoints: endpoints.clone(),
+        peers: peers.clone(),
+        clock,
+        proof_age_max,
+    };
+    let sync = Sync {
+        store,
+        config: config.clone(),
+        endpoints: endpoints.clone(),
+        peers: peers.clone(),
+        clock,
+    };
+
+    let socket = UdpSocket::bind(settings.news).await?;
+    let seeds = settings.seeds.iter().map(|seed| (seed.ip(), settings.news.port()).into());
+    let gossip = Gossip {
+        peers: peers.clone(),
+        config: config.clone(),
+        endpoints: endpoints.clone(),
+        clock,
+        seeds: seeds.collect(),
+    };
+    let following = sync.clone();
+    kernel.start("configuration", |stop| following.follow_config(stop));
+    let following = sync.clone();
+    kernel.start("endpoints", |stop| following.follow_endpoints(stop));
+    kernel.start("join", |stop| sync.join(address, stop));
+    kernel.start("news", |stop| gossip.run(socket, stop));
+    let listener = bw_http::bind(settings.ready).await?;
+    let routes = web::ready_routes(readiness.clone(), metrics.clone());
+    kernel.start("ready", |stop| bw_http::serve(listener, routes, stop));
+    if let Some(directory) = settings.directory {
+        let listener = bw_http::bind(directory).await?;
+        let lifetime = settings.lifetime.min(Duration::from_secs(2));
+        let routes = web::directory_routes(peers.clone(), config, clock, lifetime);
+        kernel.start("directory", |stop| bw_http::serve(listener, routes, stop));
+    }
+    let listener = bw_http::bind(settings.callers).await?;
+    kernel.start("callers", |stop| bw_gateway::frontend::serve(listener, forwarder, stop));
+    // Starts last and so stops first: callers are sent elsewhere before connections drain.
+    kernel.start("readiness", |stop| watch_readiness(readiness, peers, stop));
+    kernel.run(settings.grace.saturating_sub(GRACE_MARGIN)).await?;
+    Ok(())
+}
+
+/// Tells peers whether this gateway is ready, and that it leaves once it has to stop.
+async fn watch_readiness(
+    readiness: web::Readiness,
+    peers: PeerNews,
+    mut stop: bw_kernel::Stop,
+) -> Result<(), std::convert::Infallible> {
+    loop {
+        peers.set_ready(readiness.is_ready());
+        tokio::select! {
+            () = tokio::time::sleep(READY_PAUSE) => {}
+            () = stop.wait() => break,
+        }
+    }
+    peers.leave();
+    Ok(())
+}
--- /dev/null
+++ b/crates/bw-gateway/src/peers.rs
@@ -0,0 +1,218 @@
+//! News between gateways, as datagrams.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bw_direct::peers::Heard;
+use bw_direct::peers::News;
+use bw_direct::peers::PeerAddress;
+use bw_direct::peers::Peers;
+use bw_kernel::BootClock;
+use bw_kernel::Stop;
+use bw_member::PeerState;
+use bw_proto::decode;
+use bw_proto::encode;
+use log::info;
+use log::warn;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+
+use crate::config::Config;
+use crate::endpoints::Endpoints;
+
+/// Time between two rounds of news.
+const ROUND: Duration = Duration::from_millis(200);
+/// Rounds between two that name all other gateways.
+const NAMING_ROUNDS: u64 = 20;
+/// Largest datagram that is read.
+const DATAGRAM_MAX: usize = 16_384;
+
+struct State {
+    peers: Peers,
+    own: PeerState,
+    ready: bool,
+    /// Each peer's last stamp, to be returned to it.
+    stamps: HashMap<String, u64>,
+}
+
+/// The other gateways as the services share them.
+#[derive(Clone)]
+pub struct PeerNews {
+    state: Arc<Mutex<State>>,
+    address: PeerAddress,
+    /// Asks for a round at once.
+    urgent: Arc<Notify>,
+}
+
+impl PeerNews {
+    /// No peers yet of the gateway with this address and first state.
+    pub fn new(address: PeerAddress, own: PeerState) -> Self {
+        let peers = Peers::new(address.instance.clone());
+        let state = State { peers, own, ready: false, stamps: HashMap::new() };
+        Self { state: Arc::new(Mutex::new(state)), address, urgent: Arc::default() }
+    }
+
+    /// Notes that a gateway exists.
+    pub fn name(&self, address: PeerAddress, now: Duration) {
+        self.lock().peers.name(address, now);
+    }
+
+    /// Tells peers that callers should no longer be sent here.
+    pub fn leave(&self) {
+        self.lock().own.leaving = true;
+        self.urgent.notify_one();
+    }
+
+    /// Whether this gateway is leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.lock().own.leaving
+    }
+
+    /// Notes whether this gateway can serve callers.
+    pub fn set_ready(&self, ready: bool) {
+        let mut state = self.lock();
+        if state.ready != ready {
+            info!("event=ready ready={ready}");
+            state.ready = ready;
+            drop(state);
+            self.urgent.notify_one();
+        }
+    }
+
+    /// Addresses for callers: all gateways that are alive and ready.
+    pub fn caller_addresses(&self, now: Duration) -> Vec<SocketAddr> {
+        let state = self.lock();
+        let mut addresses: Vec<SocketAddr> =
+            state.peers.live(now).map(|peer| peer.callers).collect();
+        if state.ready && !state.own.leaving {
+            addresses.push(self.address.callers);
+        }
+        addresses
+    }
+
+    /// Gateways believed to be alive, this one included.
+    pub fn live_count(&self, now: Duration) -> usize {
+        self.lock().peers.live_count(now)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Sends and takes news.
+pub struct Gossip {
+    /// The other gateways.
+    pub peers: PeerNews,
+    /// The configuration.
+    pub config: Config,
+    /// The endpoints.
+    pub endpoints: Endpoints,
+    /// Clock of the process.
+    pub clock: BootClock,
+    /// Addresses of gateways to begin with.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl Gossip {
+    /// Exchanges news until `stop`.
+    ///
+    /// # Errors
+    /// None.
+    pub async fn run(self, socket: UdpSocket, mut stop: Stop) -> Result<(), Infallible> {
+        let mut buffer = vec![0; DATAGRAM_MAX];
+        let mut round = tokio::time::interval(ROUND);
+        round.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut rounds = 0;
+        loop {
+            tokio::select! {
+                _ = round.tick() => {
+                    self.tell(&socket, rounds).await;
+                    rounds += 1;
+                }
+                () = self.peers.urgent.notified() => self.tell(&socket, rounds).await,
+                received = socket.recv_from(&mut buffer) => match received {
+                    Ok((length, _)) => self.take(&buffer[..length]),
+                    Err(error) => warn!("event=news_unreceived reason=\"{error}\""),
+                },
+                () = stop.wait() => {
+                    self.tell(&socket, rounds).await;
+                    return Ok(());
+                }
+            }
+        }
+    }
+
+    /// Tells all peers the news; in some rounds with the addresses of all others.
+    async fn tell(&self, socket: &UdpSocket, round: u64) {
+        let now = self.clock.now();
+        let naming = round.is_multiple_of(NAMING_ROUNDS);
+        let works = self.endpoints.news();
+        let proof = self.config.proof_age(now).map(|age| age.as_millis() as u32);
+        let (news, targets) = {
+            let mut state = self.peers.lock();
+            state.own.seq += 1;
+            state.own.version = self.config.version();
+            let others = if naming { state.peers.addresses(now) } else { Vec::new() };
+            let news = News {
+                state: state.own.clone(),
+                address: self.peers.address.clone(),
+                ready: state.ready,
+                proof,
+                works,
+                others,
+            };
+            let mut targets = state.peers.news_addresses(now);
+            if naming {
+                let own = self.peers.address.news;
+                let unknown = |seed: &&SocketAddr| **seed != own && !targets.contains(seed);
+                let seeds: Vec<SocketAddr> = self.seeds.iter().filter(unknown).copied().collect();
+                targets.extend(seeds);
+            }
+            (news, targets)
+        };
+        let bytes = match encode(&news) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                warn!("event=news_unsent reason=\"{error}\"");
+                return;
+            }
+        };
+        for target in targets {
+            // A datagram that the kernel cannot take now is as good as lost on the way.
+            let _ = socket.try_send_to(&bytes, target);
+        }
+    }
+
+    fn take(&self, bytes: &[u8]) {
+        let news: News = match decode(bytes) {
+            Ok(news) => news,
+            Err(error) => {
+                warn!("event=news_unreadable reason=\"{error}\"");
+                return;
+            }
+        };
+        let now = self.clock.now();
+        let heard = self.peers.lock().peers.hear(&news, now);
+        match heard {
+            Heard::Stale => return,
+            Heard::First => {
+                info!(
+                    "event=peer_heard peer={} life={}",
+                    news.state.instance, news.state.incarnation
+                );
+                // The newcomer learns of this gateway without waiting for the next round.
+                self.peers.urgent.notify_one();
+            }
+            Heard::Known => {}
+        }
+        self.endpoints.hear(&news.state.instance, &news.works, now);
+        self.config.hear(news.state.version);
+    }
+}
--- /dev/null
+++ b/crates/bw-gateway/src/web.rs
@@ -0,0 +1,89 @@
+//! Readiness, metrics and the directory of addresses.
+
+use std::time::Duration;
+
+use bw_adapter::directory::decode_lookup;
+use bw_adapter::directory::encode_addresses;
+use bw_adapter::directory::READY_PATH;
+use bw_adapter::directory::RESOLVE_PATH;
+use bw_http::json_reply;
+use bw_http::text_reply;
+use bw_kernel::BootClock;
+use bw_kernel::Metrics;
+use viz::Request;
+use viz::RequestExt;
+use viz::Response;
+use viz::Router;
+use viz::StatusCode;
+
+use crate::config::Config;
+use crate::endpoints::Endpoints;
+use crate::peers::PeerNews;
+
+/// What readiness depends on.
+#[derive(Clone)]
+pub struct Readiness {
+    /// The configuration.
+    pub config: Config,
+    /// The endpoints.
+    pub endpoints: Endpoints,
+    /// The other gateways.
+    pub peers: PeerNews,
+    /// Clock of the process.
+    pub clock: BootClock,
+    /// Age of a proof up to which keys are accepted.
+    pub proof_age_max: Duration,
+}
+
+impl Readiness {
+    /// Whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let proof = self.config.proof_age(self.clock.now());
+        let proved = proof.is_some_and(|age| age <= self.proof_age_max);
+        proved && !self.endpoints.is_empty() && !self.peers.is_leaving()
+    }
+}
+
+/// Routes for the platform's checks and for metrics.
+pub fn ready_routes(readiness: Readiness, metrics: Metrics) -> Router {
+    let ready = move |_: Request| {
+        let status =
+            if readiness.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+        async move { Ok(text_reply(status, String::new())) }
+    };
+    let render = move |_: Request| {
+        let text = metrics.render();
+        async move { Ok(text) }
+    };
+    Router::new().get(READY_PATH, ready).get("/metrics", render)
+}
+
+/// Routes for callers that ask where to connect.
+pub fn directory_routes(
+    peers: PeerNews,
+    config: Config,
+    clock: BootClock,
+    lifetime: Duration,
+) -> Router {
+    let resolve = move |request: Request| {
+        let reply = resolve(&request, &peers, &config, clock, lifetime);
+        async move { Ok(reply) }
+    };
+    Router::new().get(RESOLVE_PATH, resolve)
+}
+
+fn resolve(
+    request: &Request,
+    peers: &PeerNews,
+    config: &Config,
+    clock: BootClock,
+    lifetime: Duration,
+) -> Response {
+    let lookup = decode_lookup(request.query_string().unwrap_or(""));
+    let known = config.current().is_none_or(|catalog| catalog.has_host(&lookup.host));
+    let addresses = peers.caller_addresses(clock.now());
+    if addresses.is_empty() || !known {
+        return text_reply(StatusCode::SERVICE_UNAVAILABLE, "no address is known".to_string());
+    }
+    json_reply(StatusCode::OK, &encode_addresses(&addresses, lifetime))
+}
--- a/crates/bw-http/src/lib.rs
+++ b/crates/bw-http/src/lib.rs
@@ -1,12 +1,16 @@
 //! The HTTP side of each process: a server that drains, bodies with limits, and a client.
 
 pub mod body;
+pub mod channel;
 pub mod client;
 pub mod reply;
 pub mod server;
 
 pub use body::read_body;
 pub use body::BodyError;
+pub use channel::Channel;
+pub use channel::ChannelError;
+pub use channel::Liveness;
 pub use client::Client;
 pub use client::ClientError;
 pub use reply::json_reply;
--- a/crates/bw-kernel/src/kernel.rs
+++ b/crates/bw-kernel/src/kernel.rs
@@ -5,6 +5,7 @@
 
 use log::info;
 use log::warn;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
@@ -45,11 +46,36 @@
 }
 
 /// The services of one process.
-#[derive(Default)]
 pub struct Kernel {
     /// Handles by service name.
     pub registry: Registry,
     running: Vec<Running>,
+    /// Number of requests to read the settings again.
+    reload: watch::Sender<u64>,
+    /// Names of services that have ended.
+    ends: mpsc::UnboundedReceiver<String>,
+    ended: mpsc::UnboundedSender<String>,
+}
+
+impl Default for Kernel {
+    fn default() -> Self {
+        let (ended, ends) = mpsc::unbounded_channel();
+        let reload = watch::Sender::new(0);
+        Self { registry: Registry::default(), running: Vec::new(), reload, ends, ended }
+    }
+}
+
+/// Tells the kernel that a service has ended, also when it panics.
+struct EndNotice {
+    name: String,
+    ended: mpsc::UnboundedSender<String>,
+}
+
+impl Drop for EndNotice {
+    fn drop(&mut self) {
+        // Without a kernel there is nobody to tell.
+        let _ = self.ended.send(std::mem::take(&mut self.name));
+    }
 }
 
 impl Kernel {
@@ -67,7 +93,11 @@
     {
         let (stop, signal) = Stop::pair();
         let future = service(signal);
-        let task = tokio::spawn(async move { future.await.map_err(|error| error.to_string()) });
+        let notice = EndNotice { name: name.to_string(), ended: self.ended.clone() };
+        let task = tokio::spawn(async move {
+            let _notice = notice;
+            future.await.map_err(|error| error.to_string())
+        });
         info!("event=service_started service={name}");
         self.running.push(Running { name: name.to_string(), stop, task });
     }
@@ -95,14 +125,18 @@
 
         let mut term = signal(SignalKind::terminate()).map_err(KernelError::Signal)?;
         let mut interrupt = signal(SignalKind::interrupt()).map_err(KernelError::Signal)?;
-        let mut poll = tokio::time::interval(Duration::from_millis(200));
+        let mut hangup = signal(SignalKind::hangup()).map_err(KernelError::Signal)?;
         loop {
             tokio::select! {
                 _ = term.recv() => break,
                 _ = interrupt.recv() => break,
-                _ = poll.tick() => {
-                    let ended = self.running.iter().position(|service| service.task.is_finished());
-                    if let Some(index) = ended {
+                _ = hangup.recv() => {
+                    info!("event=reload reason=signal");
+                    self.reload.send_modify(|count| *count += 1);
+                }
+                Some(name) = self.ends.recv() => {
+                    let index = self.running.iter().position(|service| service.name == name);
+                    if let Some(index) = index {
                         return Ok(join_service(self.running.remove(index)).await);
                     }
                 }
@@ -111,6 +145,11 @@
         info!("event=stopping reason=signal");
         Ok(None)
     }
+
+    /// Tells each time the process is asked to read its settings again.
+    pub fn reloads(&self) -> watch::Receiver<u64> {
+        self.reload.subscribe()
+    }
 }
 
 async fn stop_service(service: Running, grace: Duration) -> Option<KernelError> {
--- a/crates/bw-kernel/src/lib.rs
+++ b/crates/bw-kernel/src/lib.rs
@@ -13,3 +13,4 @@
 pub use metrics::Metrics;
 pub use registry::Registry;
 pub use time::unix_millis;
+pub use time::BootClock;
