--- a/crates/bw-gateway/src/forward.rs
+++ b/crates/bw-gateway/src/forward.rs
@@ -327,7 +327,7 @@
             let end = match self.send(job, &chosen, None).await {
                 Ok(Sent::Whole(whole)) => match self.judge(job, whole) {
                     Ok(outcome) => return outcome,
-                    Err((end, whole)) => (end, whole),
+                    Err(failed) => *failed,
                 },
                 Ok(Sent::Started(started)) => return self.start_stream(job, *started, last),
                 Err(end) => (end, None),
@@ -377,10 +377,10 @@
     }
 
     /// Decides whether a whole answer goes to the caller.
-    fn judge(&self, job: &Job, whole: Whole) -> Result<Outcome, (SendEnd, Option<Whole>)> {
+    fn judge(&self, job: &Job, whole: Whole) -> Result<Outcome, Box<(SendEnd, Option<Whole>)>> {
         let status = whole.parts.status;
         if status.is_server_error() && job.route().is_idempotent() {
-            return Err((SendEnd::Failed, Some(whole)));
+            return Err(Box::new((SendEnd::Failed, Some(whole))));
         }
         Ok(deliver(whole))
     }
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -1,6 +1,5 @@
 //! News between gateways, as datagrams.
 
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,8 +36,6 @@
     peers: Peers,
     own: PeerState,
     ready: bool,
-    /// Each peer's last stamp, to be returned to it.
-    stamps: HashMap<String, u64>,
 }
 
 /// The other gateways as the services share them.
@@ -54,7 +51,7 @@
     /// No peers yet of the gateway with this address and first state.
     pub fn new(address: PeerAddress, own: PeerState) -> Self {
         let peers = Peers::new(address.instance.clone());
-        let state = State { peers, own, ready: false, stamps: HashMap::new() };
+        let state = State { peers, own, ready: false };
         Self { state: Arc::new(Mutex::new(state)), address, urgent: Arc::default() }
     }
 
@@ -152,7 +149,7 @@
     /// Tells all peers the news; in some rounds with the addresses of all others.
     async fn tell(&self, socket: &UdpSocket, round: u64) {
         let now = self.clock.now();
-        let naming = round.is_multiple_of(NAMING_ROUNDS);
+        let naming = round % NAMING_ROUNDS == 0;
         let works = self.endpoints.news();
         let proof = self.config.proof_age(now).map(|age| age.as_millis() as u32);
         let (news, targets) = {
