Plan expert maps from one gateway and switch by orders to the ranks

Cause: demand for experts shifts every few seconds; with the first map the busiest rank had 3.3 times the mean, and every rank waits for it. What refuses late orders is the fencing number, the group's life, and a step that has started. Change: drive::Driver (fence, read, clear; prepare, hold, arm, release; roll back under a higher fencing number), policy::replicas (even sharing, price of a copy), policy::sample (demand from the counts of two ranks), a lease taken over by silence of its holder.

--- a/crates/bw-direct/src/endpoint.rs
+++ b/crates/bw-direct/src/endpoint.rs
@@ -25,6 +25,21 @@
     Leaving,
 }
 
+/// An endpoint's place in a group whose ranks advance together.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Name of the group.
+    pub group: String,
+    /// Life of the group.
+    pub epoch: u64,
+    /// Place in the group.
+    pub rank: u16,
+    /// Ranks of the group.
+    pub size: u16,
+    /// Whether the group takes requests.
+    pub open: bool,
+}
+
 /// An endpoint as the list names it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Endpoint {
@@ -44,6 +59,8 @@
     pub cold: Duration,
     /// Unix millisecond of its start; tells its lives apart.
     pub born: u64,
+    /// Its place in a group.
+    pub member: Option<Member>,
 }
 
 /// Why an endpoint may or may not be used.
--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bw_member::PeerState;
+use bw_model::Fence;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -57,6 +58,8 @@
     pub ready: bool,
     /// Age in milliseconds of the sender's proof that its configuration is the newest.
     pub proof: Option<u32>,
+    /// Fencing number of the planning duty, while the sender holds it.
+    pub duty: Option<Fence>,
     /// Work of the sender at endpoints.
     pub works: Vec<WorkNews>,
     /// Other entries that the sender knows; only in some of the news.
--- a/crates/bw-expert/src/lib.rs
+++ b/crates/bw-expert/src/lib.rs
@@ -1,5 +1,6 @@
 //! Expert maps: the switch that keeps all ranks on one map, and the policy that chooses maps.
 
+pub mod drive;
 pub mod map;
 pub mod message;
 pub mod policy;
--- a/crates/bw-expert/src/policy/mod.rs
+++ b/crates/bw-expert/src/policy/mod.rs
@@ -9,6 +9,8 @@
 pub mod demand;
 pub mod moves;
 pub mod planner;
+pub mod replicas;
+pub mod sample;
 pub mod shares;
 pub mod skew;
 
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -1,5 +1,6 @@
 //! The shared table of endpoints with their load, records of failures and connections.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -55,6 +56,36 @@
     random: SmallRng,
 }
 
+/// A group as the list names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupView {
+    /// Its name.
+    pub name: String,
+    /// Its life.
+    pub epoch: u64,
+    /// Address of each rank; `None` where the list names none.
+    pub ranks: Vec<Option<SocketAddr>>,
+    open: bool,
+}
+
+impl GroupView {
+    /// Whether all ranks are listed and the group takes requests.
+    pub fn is_open(&self) -> bool {
+        self.open && self.ranks.iter().all(Option::is_some)
+    }
+
+    /// Address of one rank.
+    pub fn address(&self, rank: u16) -> Option<SocketAddr> {
+        self.ranks.get(usize::from(rank)).copied().flatten()
+    }
+
+    /// Addresses of the ranks that are listed.
+    pub fn addresses(&self) -> Vec<(u16, SocketAddr)> {
+        let ranks = self.ranks.iter().enumerate();
+        ranks.filter_map(|(rank, address)| Some((rank as u16, (*address)?))).collect()
+    }
+}
+
 /// An endpoint that was chosen for a request.
 #[derive(Clone, Debug)]
 pub struct Chosen {
@@ -176,6 +207,28 @@
         })
     }
 
+    /// The groups of a service.
+    pub fn groups(&self, service: &str, now: Duration) -> Vec<GroupView> {
+        let state = self.lock();
+        let mut groups: BTreeMap<String, GroupView> = BTreeMap::new();
+        for key in state.table.usable(service, now) {
+            let Some(slot) = state.table.get(key) else { continue };
+            let Some(member) = &slot.endpoint.member else { continue };
+            let group = groups.entry(member.group.clone()).or_insert_with(|| GroupView {
+                name: member.group.clone(),
+                epoch: 0,
+                ranks: vec![None; usize::from(member.size)],
+                open: true,
+            });
+            group.epoch = group.epoch.max(member.epoch);
+            group.open &= member.open;
+            if let Some(rank) = group.ranks.get_mut(usize::from(member.rank)) {
+                *rank = Some(slot.endpoint.address);
+            }
+        }
+        groups.into_values().collect()
+    }
+
     /// Notes that a request began to answer.
     pub fn answer(&self, key: EndpointKey, prompt: u32) {
         self.lock().loads.answer(key, prompt);
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod forward;
 pub mod frontend;
 pub mod peers;
+pub mod planner;
 pub mod reply;
 pub mod settings;
 pub mod sync;
--- a/crates/bw-gateway/src/main.rs
+++ b/crates/bw-gateway/src/main.rs
@@ -18,6 +18,7 @@
 use bw_gateway::forward::Forwarder;
 use bw_gateway::peers::Gossip;
 use bw_gateway::peers::PeerNews;
+use bw_gateway::planner::PlanService;
 use bw_gateway::sync::Sync;
 use bw_gateway::web;
 use bw_gateway::GatewayError;
@@ -105,7 +106,7 @@
     let life = Incarnation((unix_millis() << 20) | u64::from(rand::random::<u16>()));
     let own =
         PeerState { instance, incarnation: life, seq: 0, leaving: false, version: Version(0) };
-    let peers = PeerNews::new(address.clone(), own);
+    let peers = PeerNews::new(address.clone(), own, clock.now());
     let config = Config::default();
     let endpoints = Endpoints::new(settings.centre.to_string(), rand::random());
     let store = ObjectClient::new(&settings.platform);
@@ -144,12 +145,21 @@
         clock,
         seeds: seeds.collect(),
     };
+    let planner = PlanService {
+        instance: settings.instance.to_string(),
+        store: sync.store.clone(),
+        config: config.clone(),
+        endpoints: endpoints.clone(),
+        peers: peers.clone(),
+        clock,
+    };
     let following = sync.clone();
     kernel.start("configuration", |stop| following.follow_config(stop));
     let following = sync.clone();
     kernel.start("endpoints", |stop| following.follow_endpoints(stop));
     kernel.start("join", |stop| sync.join(address, stop));
     kernel.start("news", |stop| gossip.run(socket, stop));
+    kernel.start("planner", |stop| planner.run(stop));
     let listener = bw_http::bind(settings.ready).await?;
     let routes = web::ready_routes(readiness.clone(), metrics.clone());
     kernel.start("ready", |stop| bw_http::serve(listener, routes, stop));
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -12,9 +12,11 @@
 use bw_direct::peers::News;
 use bw_direct::peers::PeerAddress;
 use bw_direct::peers::Peers;
+use bw_duty::StandIn;
 use bw_kernel::BootClock;
 use bw_kernel::Stop;
 use bw_member::PeerState;
+use bw_model::Fence;
 use bw_proto::decode;
 use bw_proto::encode;
 use log::info;
@@ -36,6 +38,7 @@
     peers: Peers,
     own: PeerState,
     ready: bool,
+    duty: StandIn,
 }
 
 /// The other gateways as the services share them.
@@ -49,9 +52,9 @@
 
 impl PeerNews {
     /// No peers yet of the gateway with this address and first state.
-    pub fn new(address: PeerAddress, own: PeerState) -> Self {
+    pub fn new(address: PeerAddress, own: PeerState, now: Duration) -> Self {
         let peers = Peers::new(address.instance.clone());
-        let state = State { peers, own, ready: false };
+        let state = State { peers, own, ready: false, duty: StandIn::new(now) };
         Self { state: Arc::new(Mutex::new(state)), address, urgent: Arc::default() }
     }
 
@@ -93,6 +96,35 @@
         addresses
     }
 
+    /// Whether this gateway should try to take the duty of planning.
+    pub fn should_take_duty(&self, now: Duration) -> bool {
+        let state = self.lock();
+        let own = &self.address.instance;
+        let place = state.peers.live(now).filter(|peer| peer.instance < *own).count();
+        state.ready && !state.own.leaving && state.duty.should_try(place, now)
+    }
+
+    /// Notes that this gateway has taken the duty.
+    pub fn take_duty(&self, fence: Fence) {
+        self.lock().duty.take(fence);
+        self.urgent.notify_one();
+    }
+
+    /// Notes that a try for the duty has failed.
+    pub fn miss_duty(&self, now: Duration) {
+        self.lock().duty.miss(now);
+    }
+
+    /// Gives the duty up.
+    pub fn resign_duty(&self, now: Duration) {
+        self.lock().duty.resign(now);
+    }
+
+    /// Fencing number of the duty, while this gateway has it.
+    pub fn duty(&self) -> Option<Fence> {
+        self.lock().duty.held()
+    }
+
     /// Gateways believed to be alive, this one included.
     pub fn live_count(&self, now: Duration) -> usize {
         self.lock().peers.live_count(now)
@@ -162,6 +194,7 @@
                 address: self.peers.address.clone(),
                 ready: state.ready,
                 proof,
+                duty: state.duty.held(),
                 works,
                 others,
             };
@@ -209,6 +242,9 @@
             }
             Heard::Known => {}
         }
+        if let Some(fence) = news.duty {
+            self.peers.lock().duty.hear(fence, now);
+        }
         self.endpoints.hear(&news.state.instance, &news.works, now);
         self.config.hear(news.state.version);
     }
--- /dev/null
+++ b/crates/bw-gateway/src/planner.rs
@@ -0,0 +1,559 @@
+//! Plans expert maps for the groups of model services, and switches to them.
+//!
+//! One gateway holds the duty. It reads the counts of a few ranks, and when another map would make
+//! steps shorter by more than a switch costs, it drives the switch.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bw_adapter::engines;
+use bw_adapter::Object;
+use bw_adapter::ObjectClient;
+use bw_adapter::ObjectError;
+use bw_direct::catalog::Engine;
+use bw_direct::catalog::ExpertShape;
+use bw_duty::Lease;
+use bw_expert::drive::Answer;
+use bw_expert::drive::Driver;
+use bw_expert::drive::Phase;
+use bw_expert::drive::RankState;
+use bw_expert::drive::Sending;
+use bw_expert::policy::replicas::improve;
+use bw_expert::policy::replicas::Placement;
+use bw_expert::policy::replicas::RankExperts;
+use bw_expert::policy::replicas::Room;
+use bw_expert::policy::sample::Sampler;
+use bw_http::Client;
+use bw_kernel::BootClock;
+use bw_kernel::Stop;
+use bw_model::Fence;
+use bw_model::MapVersion;
+use futures::stream::FuturesUnordered;
+use futures::StreamExt;
+use hyper::Method;
+use log::info;
+use log::warn;
+
+use crate::config::Config;
+use crate::endpoints::Endpoints;
+use crate::endpoints::GroupView;
+use crate::peers::PeerNews;
+
+/// Kind of the objects that give duties.
+const LEASES: &str = "leases";
+/// Name of the lease for planning.
+const LEASE: &str = "expert-maps";
+/// Bits of a fencing number that a holder may use up by itself.
+const FENCE_BITS: u32 = 24;
+/// Time between two looks at what is to be done.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two readings of counts.
+const SAMPLE_EVERY: Duration = Duration::from_millis(500);
+/// Ranks whose counts are read.
+const SAMPLED_RANKS: usize = 2;
+/// Time in which a rank answers an order.
+const ORDER_LIMIT: Duration = Duration::from_millis(150);
+/// Time in which a rank answers a reading.
+const READ_LIMIT: Duration = Duration::from_millis(300);
+/// Time for which a switch may be stuck before another gateway should try.
+const STUCK_MAX: Duration = Duration::from_millis(1_500);
+/// Steps between the present one and the one of a switch.
+const STEP_MARGIN: u64 = 2;
+/// Part of the mean load that a new map has to save on the busiest rank, averaged over the sets.
+const GAIN_MIN: f64 = 0.20;
+/// Part of the mean load that a received expert has to save on the busiest rank of its set.
+const COPY_PRICE: f64 = 0.015;
+/// Time between two questions whether a rank has received its experts.
+const COPY_POLL: Duration = Duration::from_millis(60);
+/// Shortest time between two switches.
+const SWITCH_PAUSE: Duration = Duration::from_millis(300);
+
+/// Plans for the groups of all model services while this gateway holds the duty.
+pub struct PlanService {
+    /// Instance of the gateway.
+    pub instance: String,
+    /// The store.
+    pub store: ObjectClient,
+    /// The configuration.
+    pub config: Config,
+    /// The endpoints.
+    pub endpoints: Endpoints,
+    /// The other gateways.
+    pub peers: PeerNews,
+    /// Clock of the process.
+    pub clock: BootClock,
+}
+
+/// What a call to a rank brought.
+enum Event {
+    Answered(String, Sending, Answer),
+    Reported(String, u16, Option<RankState>),
+    Counted(String, u16, Option<engines::Counts>),
+    Held(String, u16, Option<engines::Held>),
+}
+
+/// One group as its planner sees it.
+struct Group {
+    view: GroupView,
+    shape: ExpertShape,
+    lag: Duration,
+    driver: Driver,
+    sampler: Sampler,
+    /// Map in use, once it is known.
+    map: Option<Vec<Placement>>,
+    /// Map that is being switched to.
+    next: Option<Vec<Placement>>,
+    /// Experts of each rank while the map in use is being read.
+    reading: HashMap<u16, engines::Held>,
+    /// Reads that are on their way.
+    pending: usize,
+    /// When the driver's phase began.
+    since: Duration,
+    phase: Phase,
+    sampled: Duration,
+    switched: Duration,
+    /// The last known step and when it was read.
+    step: (u64, Duration),
+    /// Length of a step.
+    pace: Duration,
+    /// Step from which the last switch is in force.
+    target: u64,
+    /// When ranks are expected to have received their experts.
+    copied: Duration,
+}
+
+impl PlanService {
+    /// Plans until `stop`.
+    ///
+    /// # Errors
+    /// None.
+    pub async fn run(self, mut stop: Stop) -> Result<(), Infallible> {
+        let client = Client::new();
+        let mut groups: BTreeMap<String, Group> = BTreeMap::new();
+        let mut calls = FuturesUnordered::new();
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                _ = tick.tick() => {
+                    self.hold_duty().await;
+                    match self.peers.duty() {
+                        Some(fence) => self.follow_groups(&mut groups, fence),
+                        None => groups.clear(),
+                    }
+                }
+                Some(event) = calls.next() => self.take(&mut groups, event),
+                () = stop.wait() => return Ok(()),
+            }
+            for group in groups.values_mut() {
+                for call in self.advance(group, &client) {
+                    calls.push(call);
+                }
+            }
+        }
+    }
+
+    /// Takes the duty over when its holder is silent.
+    async fn hold_duty(&self) {
+        let now = self.clock.now();
+        if !self.peers.should_take_duty(now) || self.config.current().is_none() {
+            return;
+        }
+        match self.take_lease().await {
+            Ok(Some(fence)) => {
+                info!("event=duty_taken duty={LEASE} fence={fence}");
+                self.peers.take_duty(fence);
+            }
+            Ok(None) => self.peers.miss_duty(self.clock.now()),
+            Err(error) => {
+                warn!("event=duty_unsettled duty={LEASE} reason=\"{error}\"");
+                self.peers.miss_duty(self.clock.now());
+            }
+        }
+    }
+
+    /// Raises the lease's fencing number by conditional write; `None` when another was first.
+    async fn take_lease(&self) -> Result<Option<Fence>, ObjectError> {
+        let known = self.store.get(LEASES, LEASE).await?;
+        let revision = known.as_ref().map_or(0, |object| object.revision);
+        let lease = known.map(|object| object.content::<Lease>()).transpose()?.unwrap_or_default();
+        let fence = Fence(lease.fence.0 + 1);
+        let next = Lease { holder: self.instance.clone(), fence, renewal: 0 };
+        let object = Object::new(LEASES, LEASE, revision, &next)?;
+        let written = if revision == 0 {
+            self.store.create(&object).await
+        } else {
+            self.store.replace(&object).await
+        };
+        match written {
+            Ok(_) => Ok(Some(fence)),
+            Err(ObjectError::Conflict) => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Follows the list of groups.
+    fn follow_groups(&self, groups: &mut BTreeMap<String, Group>, fence: Fence) {
+        let Some(catalog) = self.config.current() else { return };
+        let now = self.clock.now();
+        let mut views = BTreeMap::new();
+        for (_, service) in catalog.services.iter() {
+            let Some(engine) = &service.engine else { continue };
+            let Some(shape) = &engine.experts else { continue };
+            for view in self.endpoints.groups(&service.name, now) {
+                views.insert(view.name.clone(), (view, engine.clone(), shape.clone()));
+            }
+        }
+        groups.retain(|name, _| views.contains_key(name));
+        for (name, (view, engine, shape)) in views {
+            match groups.get_mut(&name) {
+                Some(group) if group.view.ranks.len() == view.ranks.len() => {
+                    let changed = group.view.epoch != view.epoch;
+                    group.view = view;
+                    if changed && group.driver.epoch() != Some(group.view.epoch) {
+                        group.driver.reread();
+                    }
+                }
+                _ => {
+                    groups.insert(name, Group::new(view, &engine, shape, fence, now));
+                }
+            }
+        }
+    }
+
+    /// Takes what a call brought.
+    fn take(&self, groups: &mut BTreeMap<String, Group>, event: Event) {
+        let now = self.clock.now();
+        match event {
+            Event::Answered(name, sending, answer) => {
+                let Some(group) = groups.get_mut(&name) else { return };
+                group.driver.answer(&sending, answer);
+                if group.driver.phase() == Phase::Replaced {
+                    info!("event=duty_lost duty={LEASE} group={name} fence={}", sending.fence);
+                    self.peers.resign_duty(now);
+                }
+            }
+            Event::Reported(name, rank, state) => {
+                let Some(group) = groups.get_mut(&name) else { return };
+                group.pending -= 1;
+                if let Some(state) = state {
+                    group.note_step(state.step, now.saturating_sub(group.lag));
+                    group.driver.report(rank, state);
+                    if group.driver.phase() != Phase::Reading && state.map == MapVersion(0) {
+                        group.map = Some(group.first_map());
+                    }
+                }
+            }
+            Event::Counted(name, rank, counts) => {
+                let Some(group) = groups.get_mut(&name) else { return };
+                group.pending -= 1;
+                if let Some(counts) = counts {
+                    group.note_step(counts.step, now);
+                    group.sampler.take(rank, counts.epoch, &counts.counts);
+                }
+            }
+            Event::Held(name, rank, held) => {
+                let Some(group) = groups.get_mut(&name) else { return };
+                group.pending -= 1;
+                if let Some(held) = held {
+                    group.reading.insert(rank, held);
+                    group.join_map();
+                }
+            }
+        }
+    }
+
+    /// Calls that a group needs now.
+    fn advance(
+        &self,
+        group: &mut Group,
+        client: &Client,
+    ) -> Vec<futures::future::BoxFuture<'static, Event>> {
+        let now = self.clock.now();
+        let mut calls: Vec<futures::future::BoxFuture<'static, Event>> = Vec::new();
+        if group.driver.phase() != group.phase {
+            group.enter(now);
+        }
+        let stuck = matches!(group.phase, Phase::Holding | Phase::Arming | Phase::Disarming);
+        if stuck && now.saturating_sub(group.since) > STUCK_MAX {
+            warn!("event=switch_stuck group={} phase={:?}", group.view.name, group.phase);
+            self.peers.resign_duty(now);
+            return calls;
+        }
+        match group.phase {
+            Phase::Reading if group.pending == 0 => {
+                if group.view.is_open() && now.saturating_sub(group.since) >= group.lag {
+                    group.since = now;
+                    for (rank, address) in group.view.addresses() {
+                        group.pending += 1;
+                        calls.push(Box::pin(read_report(
+                            client.clone(),
+                            group.view.name.clone(),
+                            rank,
+                            address,
+                        )));
+                    }
+                }
+            }
+            Phase::Idle => self.plan(group, client, now, &mut calls),
+            Phase::Preparing => {
+                if group.driver.is_prepared() {
+                    let step = group.step_at(now) + STEP_MARGIN;
+                    group.target = step;
+                    group.driver.hold(step, 0);
+                } else if now >= group.copied {
+                    group.copied = now + COPY_POLL;
+                    group.driver.poll();
+                }
+            }
+            _ => {}
+        }
+        if group.driver.phase() != group.phase {
+            group.enter(now);
+        }
+        let map = group.next.as_deref().unwrap_or(&[]);
+        for sending in group.driver.sendings() {
+            let Some(address) = group.view.address(sending.rank) else {
+                group.driver.answer(&sending, Answer::Silent);
+                continue;
+            };
+            let body = engines::encode_order(&sending, map);
+            calls.push(Box::pin(send_order(
+                client.clone(),
+                group.view.name.clone(),
+                address,
+                sending,
+                body,
+            )));
+        }
+        calls
+    }
+
+    /// Samples demand and begins a switch that is worth it.
+    fn plan(
+        &self,
+        group: &mut Group,
+        client: &Client,
+        now: Duration,
+        calls: &mut Vec<futures::future::BoxFuture<'static, Event>>,
+    ) {
+        if group.pending > 0 {
+            return;
+        }
+        if group.map.is_none() {
+            group.reading.clear();
+            for (rank, address) in group.view.addresses() {
+                group.pending += 1;
+                let name = group.view.name.clone();
+                calls.push(Box::pin(read_held(client.clone(), name, rank, address)));
+            }
+            return;
+        }
+        if group.sampler.settle() {
+            self.try_switch(group, now);
+        }
+        if group.driver.phase() == Phase::Idle && now.saturating_sub(group.sampled) >= SAMPLE_EVERY
+        {
+            group.sampled = now;
+            for (rank, address) in group.view.addresses().into_iter().take(SAMPLED_RANKS) {
+                group.pending += 1;
+                let name = group.view.name.clone();
+                calls.push(Box::pin(read_counts(client.clone(), name, rank, address)));
+            }
+        }
+    }
+
+    fn try_switch(&self, group: &mut Group, now: Duration) {
+        let in_force = group.step.0 >= group.target;
+        if !in_force || now.saturating_sub(group.switched) < SWITCH_PAUSE {
+            return;
+        }
+        let (Some(map), Some(demand)) = (&group.map, group.sampler.demand()) else { return };
+        let room = Room { places: group.shape.places, spare: group.shape.spare, price: COPY_PRICE };
+        let next: Vec<Placement> =
+            map.iter().zip(demand).map(|(set, demand)| improve(set, demand, room)).collect();
+        let skew = |map: &[Placement]| {
+            let sum: f64 = map.iter().zip(demand).map(|(set, demand)| set.skew(demand)).sum();
+            sum / map.len().max(1) as f64
+        };
+        let (before, after) = (skew(map), skew(&next));
+        if before - after < GAIN_MIN {
+            return;
+        }
+        let received: usize = next.iter().zip(map).map(|(next, set)| next.received(set)).sum();
+        let copying = group.shape.bytes / group.shape.copying.max(1.0);
+        group.copied = now + Duration::from_secs_f64(copying * most_received(&next, map) as f64);
+        let version = MapVersion(group.driver.fence().0.max(group.driver.version().0 + 1));
+        info!(
+            "event=place group={} version={version} skew_before={before:.3} skew_after={after:.3} \
+             received={received} step={}",
+            group.view.name, group.step.0
+        );
+        group.next = Some(next);
+        group.switched = now;
+        group.driver.begin(version);
+    }
+}
+
+/// Experts that the rank with the most of them receives, over all sets.
+fn most_received(next: &[Placement], map: &[Placement]) -> usize {
+    let ranks = next.first().map_or(0, |set| set.ranks.len());
+    let received = |rank: usize| -> usize {
+        let sets = next.iter().zip(map);
+        let new = sets.map(|(next, set)| {
+            let held = &set.ranks[rank];
+            next.ranks[rank].iter().filter(|expert| !held.contains(expert)).count()
+        });
+        new.sum()
+    };
+    (0..ranks).map(received).max().unwrap_or(0)
+}
+
+impl Group {
+    fn new(
+        view: GroupView,
+        engine: &Engine,
+        shape: ExpertShape,
+        fence: Fence,
+        now: Duration,
+    ) -> Self {
+        let driver = Driver::new(view.ranks.len() as u16, Fence(fence.0 << FENCE_BITS));
+        let phase = driver.phase();
+        Self {
+            sampler: Sampler::new(shape.sets, shape.experts),
+            shape,
+            lag: engine.lag,
+            view,
+            driver,
+            map: None,
+            next: None,
+            reading: HashMap::new(),
+            pending: 0,
+            since: now,
+            phase,
+            sampled: Duration::ZERO,
+            switched: Duration::ZERO,
+            step: (0, now),
+            pace: engine.step * engine.stride,
+            target: 0,
+            copied: Duration::ZERO,
+        }
+    }
+
+    /// Follows the driver into its next phase.
+    fn enter(&mut self, now: Duration) {
+        let before = self.phase;
+        self.phase = self.driver.phase();
+        info!(
+            "event=switch_phase group={} phase={:?} before={before:?} after_ms={} step={} target={}",
+            self.view.name,
+            self.phase,
+            now.saturating_sub(self.since).as_millis(),
+            self.step.0,
+            self.target
+        );
+        self.since = now;
+        match (before, self.phase) {
+            (Phase::Releasing, Phase::Idle) => {
+                if let Some(next) = self.next.take() {
+                    self.map = Some(next);
+                }
+            }
+            (_, Phase::Reading | Phase::Fencing | Phase::Clearing | Phase::Disarming) => {
+                self.map = None;
+                self.next = None;
+                self.target = 0;
+                self.step = (0, now);
+            }
+            _ => {}
+        }
+    }
+
+    fn note_step(&mut self, step: u64, at: Duration) {
+        let (known, then) = self.step;
+        if step > known && known > 0 && at > then {
+            let pace = (at - then) / (step - known) as u32;
+            self.pace = pace;
+        }
+        if step != known || known == 0 {
+            self.step = (step, at);
+        }
+    }
+
+    /// The step that is expected to run at `now`.
+    fn step_at(&self, now: Duration) -> u64 {
+        let (step, at) = self.step;
+        let passed = now.saturating_sub(at).as_secs_f64() / self.pace.as_secs_f64().max(0.001);
+        step + passed.min(20.0) as u64
+    }
+
+    fn first_map(&self) -> Vec<Placement> {
+        let ranks = self.view.ranks.len();
+        (0..self.shape.sets).map(|_| Placement::in_turn(ranks, self.shape.experts)).collect()
+    }
+
+    /// Joins what all ranks hold to the map in use.
+    fn join_map(&mut self) {
+        let ranks = self.view.ranks.len();
+        if self.reading.len() < ranks {
+            return;
+        }
+        let first = self.reading.values().next().map(|held| (held.epoch, held.version));
+        let same = self.reading.values().all(|held| Some((held.epoch, held.version)) == first);
+        if !same {
+            return;
+        }
+        let mut map = vec![Placement { ranks: vec![RankExperts::new(); ranks] }; self.shape.sets];
+        for (rank, held) in &self.reading {
+            for (set, experts) in map.iter_mut().zip(&held.sets) {
+                set.ranks[usize::from(*rank)] = experts.clone();
+            }
+        }
+        self.map = Some(map);
+    }
+}
+
+async fn read_report(client: Client, group: String, rank: u16, address: SocketAddr) -> Event {
+    let url = format!("http://{address}{}", engines::REPORT_PATH);
+    let state = match client.get(&url, READ_LIMIT).await {
+        Ok(reply) if reply.status == 200 => engines::decode_report(&reply.body).ok(),
+        _ => None,
+    };
+    Event::Reported(group, rank, state)
+}
+
+async fn read_counts(client: Client, group: String, rank: u16, address: SocketAddr) -> Event {
+    let url = format!("http://{address}{}", engines::COUNTS_PATH);
+    let counts = match client.get(&url, READ_LIMIT).await {
+        Ok(reply) if reply.status == 200 => engines::decode_counts(&reply.body).ok(),
+        _ => None,
+    };
+    Event::Counted(group, rank, counts)
+}
+
+async fn read_held(client: Client, group: String, rank: u16, address: SocketAddr) -> Event {
+    let url = format!("http://{address}{}", engines::EXPERTS_PATH);
+    let held = match client.get(&url, READ_LIMIT).await {
+        Ok(reply) if reply.status == 200 => engines::decode_held(&reply.body).ok(),
+        _ => None,
+    };
+    Event::Held(group, rank, held)
+}
+
+async fn send_order(
+    client: Client,
+    group: String,
+    address: SocketAddr,
+    sending: Sending,
+    body: serde_json::Value,
+) -> Event {
+    let url = format!("http://{address}{}", engines::ORDER_PATH);
+    let answer = match client.call(Method::POST, &url, Some(&body), ORDER_LIMIT).await {
+        Ok(reply) => engines::decode_answer(reply.status),
+        Err(_) => Answer::Silent,
+    };
+    Event::Answered(group, sending, answer)
+}
