--- a/crates/bw-ctl/src/commands/apply.rs
+++ b/crates/bw-ctl/src/commands/apply.rs
@@ -66,7 +66,7 @@
         }
         let accepted = store.document(&read.head).await?;
         let started = Instant::now();
-        let (version, mut output) = if accepted == files.document && !read.object.is_empty() {
+        let (version, mut output) = if accepted == files.document && read.object != 0 {
             let version = read.head.version;
             (version, format!("nothing to change; version {version} is accepted"))
         } else {
--- a/crates/bw-ctl/src/main.rs
+++ b/crates/bw-ctl/src/main.rs
@@ -41,7 +41,7 @@
         println!("bwctl {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
-    bw_kernel::logging::start_logger("bwctl", "error");
+    bw_kernel::logging::start_tool_logger("bwctl", "error");
     match run(arguments.command).await {
         Ok(output) => {
             println!("{output}");
--- a/crates/bw-direct/src/budget.rs
+++ b/crates/bw-direct/src/budget.rs
@@ -46,32 +46,27 @@
 }
 
 /// The repeats of one entry, for each service.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct RepeatBudget {
-    allowance: Allowance,
     services: HashMap<String, Window>,
 }
 
 impl RepeatBudget {
-    /// A budget without requests.
-    pub fn new(allowance: Allowance) -> Self {
-        Self { allowance, services: HashMap::new() }
-    }
-
-    /// Changes the allowance; what was counted stays.
-    pub fn set_allowance(&mut self, allowance: Allowance) {
-        self.allowance = allowance;
-    }
-
     /// Counts a request of a caller.
-    pub fn note_request(&mut self, service: &str, now: Duration) {
-        self.slot(service, now).requests += 1;
+    pub fn note_request(&mut self, service: &str, window: Duration, now: Duration) {
+        self.slot(service, window, now).requests += 1;
     }
 
     /// Takes one repeat when this entry, one of `entries`, has any left.
-    pub fn take(&mut self, service: &str, entries: usize, now: Duration) -> bool {
-        let Allowance { ratio, slack, .. } = self.allowance;
-        self.slot(service, now);
+    pub fn take(
+        &mut self,
+        service: &str,
+        allowance: Allowance,
+        entries: usize,
+        now: Duration,
+    ) -> bool {
+        let Allowance { ratio, slack, window: length } = allowance;
+        self.slot(service, length, now);
         let Some(window) = self.services.get(service) else { return false };
         let requests: u32 = window.slots.iter().map(|slot| slot.requests).sum();
         let repeats: u32 = window.slots.iter().map(|slot| slot.repeats).sum();
@@ -79,12 +74,12 @@
         if f64::from(repeats + 1) > own {
             return false;
         }
-        self.slot(service, now).repeats += 1;
+        self.slot(service, length, now).repeats += 1;
         true
     }
 
-    fn slot(&mut self, service: &str, now: Duration) -> &mut Counts {
-        let length = self.allowance.window / (SLOTS as u32 - 1);
+    fn slot(&mut self, service: &str, window: Duration, now: Duration) -> &mut Counts {
+        let length = window / (SLOTS as u32 - 1);
         let window = self.services.entry(service.to_string()).or_default();
         window.slot(now, length)
     }
--- a/crates/bw-entry/src/config.rs
+++ b/crates/bw-entry/src/config.rs
@@ -196,14 +196,14 @@
 
     async fn follow(&self, members: &Members, seeds: &[SocketAddr]) {
         let mut pause = PAUSE_FIRST;
-        let mut object = String::new();
+        let mut object = 0;
         loop {
             if self.current().is_none() {
                 for seed in seeds {
                     self.fetch(*seed).await;
                 }
             } else if !self.is_watcher(members) {
-                object.clear();
+                object = 0;
                 tokio::time::sleep(IDLE).await;
                 continue;
             }
@@ -211,7 +211,7 @@
                 Ok(()) => pause = PAUSE_FIRST,
                 Err(error) => {
                     warn!("event=platform_unread reason=\"{error}\"");
-                    object.clear();
+                    object = 0;
                     // Spread the return of many processes after an outage.
                     let spread = 0.5 + rand::random::<f64>();
                     tokio::time::sleep(pause.mul_f64(spread)).await;
@@ -222,19 +222,19 @@
     }
 
     /// Reads the head, or waits for the next one when it was read before.
-    async fn follow_store(&self, object: &mut String) -> Result<(), StoreError> {
-        let read = if object.is_empty() {
+    async fn follow_store(&self, object: &mut u64) -> Result<(), StoreError> {
+        let read = if *object == 0 {
             Some(self.store.head().await?)
         } else {
-            self.store.watch(object, WATCH_WAIT).await?
+            self.store.watch(*object, WATCH_WAIT).await?
         };
         let Some(read) = read else { return Ok(()) };
-        if read.object.is_empty() {
+        if read.object == 0 {
             tokio::time::sleep(PAUSE_FIRST).await;
             return Ok(());
         }
         self.read_document(&read).await?;
-        object.clone_from(&read.object);
+        *object = read.object;
         Ok(())
     }
 
--- a/crates/bw-entry/src/main.rs
+++ b/crates/bw-entry/src/main.rs
@@ -80,7 +80,7 @@
         println!("{file}: ok");
         return Ok(());
     }
-    bw_kernel::logging::start_logger(settings.instance.as_str(), &settings.log);
+    let _log = bw_kernel::logging::start_logger(settings.instance.as_str(), &settings.log);
     serve(settings).await
 }
 
--- a/crates/bw-entry/src/planner.rs
+++ b/crates/bw-entry/src/planner.rs
@@ -72,8 +72,8 @@
 struct Duty {
     tenant: Tenant,
     planner: Planner,
-    /// Version of the lease object as last read or written.
-    object: String,
+    /// Revision of the lease object as last read or written; 0 where it does not exist.
+    object: u64,
 }
 
 impl PlanService {
@@ -118,7 +118,7 @@
                 Duty {
                     tenant: Tenant::new(self.instance.clone(), term, patience),
                     planner: Planner::new(tuning),
-                    object: String::new(),
+                    object: 0,
                 }
             });
             duty.planner.set_tuning(tuning);
@@ -136,16 +136,15 @@
         let now = self.members.now();
         if duty.tenant.fence(now).is_none() {
             let object = self.store.get(Purpose::Lease, LEASES, &name).await?;
-            duty.object =
-                object.as_ref().map_or(String::new(), |object| object.metadata.version.clone());
+            duty.object = object.as_ref().map_or(0, |object| object.revision);
             let lease = object.map(|object| object.content::<Lease>()).transpose()?;
             duty.tenant.read(lease, now);
         }
         if let LeaseStep::Write(lease) = duty.tenant.step(now) {
-            let object = Object::new(LEASES, &name, &duty.object, &lease)?;
+            let object = Object::new(LEASES, &name, duty.object, &lease)?;
             match self.store.put(Purpose::Lease, &object).await {
                 Ok(written) => {
-                    duty.object = written.metadata.version;
+                    duty.object = written.revision;
                     let fence = lease.fence;
                     let line = format!(
                         "event=lease_written group={group} holder={} fence={fence} renewal={}",
--- a/crates/bw-fake/src/lib.rs
+++ b/crates/bw-fake/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod control;
 pub mod engine;
+pub mod objects;
 pub mod platform;
 pub mod service;
 pub mod settings;
--- a/crates/bw-fake/src/main.rs
+++ b/crates/bw-fake/src/main.rs
@@ -36,7 +36,7 @@
 #[tokio::main]
 async fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
-    bw_kernel::logging::start_logger("bw-fake", "info");
+    let _log = bw_kernel::logging::start_logger("bw-fake", "info");
     match run(&arguments.settings).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
--- a/crates/bw-fake/src/platform.rs
+++ b/crates/bw-fake/src/platform.rs
@@ -1,44 +1,61 @@
-//! Stand-in of the platform's object API, with faults that control calls switch on.
+//! Stand-in of the platform's object store, with faults that control calls switch on.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_adapter::objects::codec::decode_call;
+use bw_adapter::objects::codec::encode_changes;
+use bw_adapter::objects::codec::encode_page;
+use bw_adapter::objects::codec::encode_stored;
+use bw_adapter::objects::codec::StoreCall;
+use bw_adapter::objects::codec::OBJECTS_PATH;
+use bw_adapter::Object;
 use bw_http::json_reply;
 use bw_http::read_body;
 use bw_http::text_reply;
 use bw_platform::budget::Budget;
 use bw_platform::budget::Purpose;
-use bw_platform::object::WatchEvent;
-use bw_platform::Object;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use tokio::time::Instant;
 use viz::Request;
 use viz::RequestExt;
 use viz::Response;
-use viz::ResponseExt;
 use viz::Result;
 use viz::Router;
 use viz::StatusCode;
 
+use crate::objects::Denial;
+use crate::objects::Objects;
+
 const OBJECT_BYTES_MAX: usize = 1_048_576;
 const BODY_LIMIT: Duration = Duration::from_secs(5);
 
-/// Faults of the object API.
+/// Faults of the object store.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Faults {
     /// Every call is answered 503.
     pub down: bool,
+    /// Calls are not answered at all.
+    pub silent: bool,
+    /// Callers from these addresses are answered 503.
+    pub refused: Vec<std::net::IpAddr>,
     /// Each call takes so many milliseconds longer.
     pub slow: u64,
     /// So many next writes take effect without an answer.
     pub lost: u32,
+    /// So many next writes have no answer and take effect after `late_ms`.
+    pub late: u32,
+    /// Milliseconds until a late write takes effect.
+    pub late_ms: u64,
+    /// Forget the history now.
+    pub forget: bool,
 }
 
 /// Calls counted since the start.
@@ -55,33 +72,33 @@
 }
 
 #[derive(Default)]
-struct Objects {
-    revision: u64,
-    objects: BTreeMap<(String, String), Object>,
+struct State {
+    objects: Objects,
     faults: Faults,
     calls: Calls,
 }
 
-/// The object API.
+/// The object store.
 #[derive(Clone)]
 pub struct Platform {
-    objects: Arc<Mutex<Objects>>,
+    state: Arc<Mutex<State>>,
     budget: Arc<Mutex<Budget>>,
     start: Instant,
     changed: watch::Sender<u64>,
 }
 
-/// How a write is conditioned.
-enum Condition {
-    Absent,
-    Version(String),
+/// What becomes of the answer to a write.
+enum Fate {
+    Answered,
+    Lost,
+    Late(Duration),
 }
 
 impl Platform {
     /// An empty store that takes `rate` calls a second.
     pub fn new(rate: f64) -> Self {
         Self {
-            objects: Arc::default(),
+            state: Arc::default(),
             budget: Arc::new(Mutex::new(Budget::new(rate, rate))),
             start: Instant::now(),
             changed: watch::Sender::new(0),
@@ -90,7 +107,11 @@
 
     /// Switches faults.
     pub fn set_faults(&self, faults: Faults) {
-        self.lock().faults = faults;
+        let mut state = self.lock();
+        if faults.forget {
+            state.objects.forget_history();
+        }
+        state.faults = Faults { forget: false, ..faults };
     }
 
     /// Calls counted so far.
@@ -98,54 +119,77 @@
         self.lock().calls.clone()
     }
 
-    /// Routes of the API.
+    /// Changes objects as their owner or operator would, without a call.
+    pub fn change<F, T>(&self, change: F) -> T
+    where
+        F: FnOnce(&mut Objects) -> T,
+    {
+        let mut state = self.lock();
+        let result = change(&mut state.objects);
+        let revision = state.objects.revision();
+        drop(state);
+        self.changed.send_replace(revision);
+        result
+    }
+
+    /// Routes of the store.
     pub fn routes(&self) -> Router {
-        let kind = "/apis/baobabwind.dev/v1/:kind";
-        let one = "/apis/baobabwind.dev/v1/:kind/:name";
-        let api = self.clone();
-        let list = move |request: Request| {
-            let api = api.clone();
-            async move { api.list_or_watch(request).await }
-        };
-        let api = self.clone();
-        let create = move |request: Request| {
-            let api = api.clone();
-            async move { api.write(request, false).await }
+        let store = self.clone();
+        let call = move |request: Request| {
+            let store = store.clone();
+            async move { store.serve(request).await }
         };
-        let api = self.clone();
-        let get = move |request: Request| {
-            let api = api.clone();
-            async move { api.get(request).await }
-        };
-        let api = self.clone();
-        let replace = move |request: Request| {
-            let api = api.clone();
-            async move { api.write(request, true).await }
+        Router::new().any(&format!("{OBJECTS_PATH}/*"), call)
+    }
+
+    async fn serve(&self, mut request: Request) -> Result<Response> {
+        let body = match read_body(request.incoming()?, OBJECT_BYTES_MAX, BODY_LIMIT).await {
+            Ok(body) => body,
+            Err(error) => return Ok(text_reply(StatusCode::PAYLOAD_TOO_LARGE, error.to_string())),
         };
-        let api = self.clone();
-        let delete = move |request: Request| {
-            let api = api.clone();
-            async move { api.delete(request).await }
+        let query = request.query_string().unwrap_or("");
+        let call = match decode_call(request.method(), request.path(), query, &body) {
+            Ok(call) => call,
+            Err(error) => return Ok(text_reply(StatusCode::BAD_REQUEST, error.to_string())),
         };
-        let many = viz::Route::new().get(list).post(create);
-        let single = viz::Route::new().get(get).put(replace).delete(delete);
-        Router::new().route(kind, many).route(one, single)
+        let caller = request.remote_addr().map(|address| address.ip());
+        if let Some(refused) = self.admit(&call, caller).await {
+            return Ok(refused);
+        }
+        match call {
+            StoreCall::List { kind, after } => {
+                let page = self.lock().objects.list(&kind, &after);
+                Ok(json_reply(StatusCode::OK, &encode_page(&page)))
+            }
+            StoreCall::Watch { kind, revision, wait } => {
+                Ok(self.watch(&kind, revision, wait).await)
+            }
+            StoreCall::Get { kind, name } => {
+                let object = self.lock().objects.get(&kind, &name).cloned();
+                Ok(object_reply(object.ok_or(Denial::Absent)))
+            }
+            write => self.write(write).await,
+        }
     }
 
     /// Counts a call and applies outage, slowness and rate limit.
-    async fn admit<F>(&self, count: F) -> Option<Response>
-    where
-        F: FnOnce(&mut Calls),
-    {
+    async fn admit(&self, call: &StoreCall, caller: Option<std::net::IpAddr>) -> Option<Response> {
         let faults = {
-            let mut objects = self.lock();
-            count(&mut objects.calls);
-            objects.faults.clone()
+            let mut state = self.lock();
+            match call {
+                StoreCall::List { .. } | StoreCall::Get { .. } => state.calls.reads += 1,
+                StoreCall::Watch { .. } => state.calls.watches += 1,
+                _ => state.calls.writes += 1,
+            }
+            state.faults.clone()
         };
         if faults.slow > 0 {
             tokio::time::sleep(Duration::from_millis(faults.slow)).await;
         }
-        if faults.down {
+        if faults.silent {
+            std::future::pending::<()>().await;
+        }
+        if faults.down || caller.is_some_and(|caller| faults.refused.contains(&caller)) {
             return Some(text_reply(StatusCode::SERVICE_UNAVAILABLE, "outage".to_string()));
         }
         let now = self.start.elapsed();
@@ -157,139 +201,83 @@
         None
     }
 
-    async fn get(&self, request: Request) -> Result<Response> {
-        if let Some(refused) = self.admit(|calls| calls.reads += 1).await {
-            return Ok(refused);
-        }
-        let id = object_id(&request)?;
-        Ok(match self.lock().objects.get(&id) {
-            Some(object) => json_reply(StatusCode::OK, object),
-            None => text_reply(StatusCode::NOT_FOUND, "no such object".to_string()),
-        })
-    }
-
-    async fn list_or_watch(&self, request: Request) -> Result<Response> {
-        let kind: String = request.param("kind")?;
-        let query = request.query_string().unwrap_or("").to_string();
-        if query.contains("watch=true") {
-            return self.watch(kind, &query).await;
-        }
-        if let Some(refused) = self.admit(|calls| calls.reads += 1).await {
-            return Ok(refused);
-        }
-        let objects = self.lock();
-        let items: Vec<&Object> =
-            objects.objects.iter().filter(|((k, _), _)| *k == kind).map(|(_, o)| o).collect();
-        Ok(json_reply(StatusCode::OK, &serde_json::json!({ "items": items })))
-    }
-
-    async fn watch(&self, kind: String, query: &str) -> Result<Response> {
-        if let Some(refused) = self.admit(|calls| calls.watches += 1).await {
-            return Ok(refused);
-        }
-        let field = |name: &str| {
-            let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.filter(|(key, _)| *key == name).map(|(_, value)| value.to_string()).next()
-        };
-        let name = field("fieldSelector").unwrap_or_default().replace("metadata.name%3D", "");
-        let after = field("resourceVersion").unwrap_or_default();
-        let seconds: u64 = field("timeoutSeconds").and_then(|v| v.parse().ok()).unwrap_or(30);
-        let api = self.clone();
-        let wait = Duration::from_secs(seconds);
-        let line = async move {
-            let event = tokio::time::timeout(wait, api.next_change((kind, name), after)).await;
-            let text = event.ok().and_then(|event| serde_json::to_string(&event).ok());
-            Ok::<_, std::io::Error>(text.map_or(String::new(), |text| text + "\n"))
-        };
-        Ok(Response::stream(futures::stream::once(line)))
-    }
-
-    async fn next_change(&self, id: (String, String), after: String) -> WatchEvent {
+    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Response {
         let mut changed = self.changed.subscribe();
-        loop {
-            let object = self.lock().objects.get(&id).cloned();
-            if let Some(object) = object.filter(|object| object.metadata.version != after) {
-                if !self.lock().faults.down {
-                    return WatchEvent { change: "MODIFIED".to_string(), object };
+        let news = async {
+            loop {
+                let changes = self.lock().objects.changes(kind, after);
+                match changes {
+                    Some(changes) if changes.events.is_empty() => {}
+                    changes => return changes,
+                }
+                if changed.changed().await.is_err() {
+                    std::future::pending::<()>().await;
                 }
             }
-            if changed.changed().await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        }
-    }
-
-    async fn write(&self, mut request: Request, replace: bool) -> Result<Response> {
-        if let Some(refused) = self.admit(|calls| calls.writes += 1).await {
-            return Ok(refused);
-        }
-        let body = match read_body(request.incoming()?, OBJECT_BYTES_MAX, BODY_LIMIT).await {
-            Ok(body) => body,
-            Err(error) => return Ok(text_reply(StatusCode::PAYLOAD_TOO_LARGE, error.to_string())),
-        };
-        let object: Object = match serde_json::from_slice(&body) {
-            Ok(object) => object,
-            Err(error) => return Ok(text_reply(StatusCode::BAD_REQUEST, error.to_string())),
         };
-        let condition = if replace {
-            Condition::Version(object.metadata.version.clone())
-        } else {
-            Condition::Absent
+        let changes = match timeout(wait, news).await {
+            Ok(changes) => changes,
+            Err(_) => self.lock().objects.changes(kind, after),
         };
-        let written = self.put(object, condition);
-        if self.lose_answer() {
-            return Err(viz::Error::boxed("the answer is lost"));
+        match changes {
+            Some(changes) => json_reply(StatusCode::OK, &encode_changes(&changes)),
+            None => text_reply(StatusCode::GONE, "this history is gone".to_string()),
         }
-        Ok(match written {
-            Some(object) => json_reply(StatusCode::OK, &object),
-            None => text_reply(StatusCode::CONFLICT, "another version".to_string()),
-        })
     }
 
-    fn put(&self, mut object: Object, condition: Condition) -> Option<Object> {
-        let mut objects = self.lock();
-        let id = (object.kind.clone(), object.metadata.name.clone());
-        let present = objects.objects.get(&id).map(|present| present.metadata.version.clone());
-        let holds = match condition {
-            Condition::Absent => present.is_none(),
-            Condition::Version(expected) => present == Some(expected),
-        };
-        if !holds {
-            return None;
+    async fn write(&self, call: StoreCall) -> Result<Response> {
+        match self.fate() {
+            Fate::Answered => Ok(object_reply(self.apply(call))),
+            Fate::Lost => {
+                // The caller learns nothing, whether the write was denied or not.
+                let _ = self.apply(call);
+                Err(viz::Error::boxed("the answer is lost"))
+            }
+            Fate::Late(wait) => {
+                let store = self.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(wait).await;
+                    let _ = store.apply(call);
+                });
+                Err(viz::Error::boxed("the answer is lost"))
+            }
         }
-        objects.revision += 1;
-        let revision = objects.revision;
-        object.metadata.version = revision.to_string();
-        objects.objects.insert(id, object.clone());
-        drop(objects);
-        self.changed.send_replace(revision);
-        Some(object)
     }
 
-    /// True when this write's answer is to be lost.
-    fn lose_answer(&self) -> bool {
-        let mut objects = self.lock();
-        let lose = objects.faults.lost > 0;
-        objects.faults.lost = objects.faults.lost.saturating_sub(1);
-        lose
+    fn apply(&self, call: StoreCall) -> Result<Object, Denial> {
+        self.change(|objects| match call {
+            StoreCall::Create(object) => objects.create(object),
+            StoreCall::Replace(object) => objects.replace(object),
+            StoreCall::Remove { kind, name } => objects.remove(&kind, &name),
+            StoreCall::List { .. } | StoreCall::Watch { .. } | StoreCall::Get { .. } => {
+                Err(Denial::Absent)
+            }
+        })
     }
 
-    async fn delete(&self, request: Request) -> Result<Response> {
-        if let Some(refused) = self.admit(|calls| calls.writes += 1).await {
-            return Ok(refused);
+    fn fate(&self) -> Fate {
+        let mut state = self.lock();
+        let faults = &mut state.faults;
+        if faults.lost > 0 {
+            faults.lost -= 1;
+            return Fate::Lost;
         }
-        let id = object_id(&request)?;
-        Ok(match self.lock().objects.remove(&id) {
-            Some(object) => json_reply(StatusCode::OK, &object),
-            None => text_reply(StatusCode::NOT_FOUND, "no such object".to_string()),
-        })
+        if faults.late > 0 {
+            faults.late -= 1;
+            return Fate::Late(Duration::from_millis(faults.late_ms));
+        }
+        Fate::Answered
     }
 
-    fn lock(&self) -> MutexGuard<'_, Objects> {
-        self.objects.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-fn object_id(request: &Request) -> Result<(String, String)> {
-    Ok((request.param("kind")?, request.param("name")?))
+fn object_reply(result: Result<Object, Denial>) -> Response {
+    match result {
+        Ok(object) => json_reply(StatusCode::OK, &encode_stored(&object)),
+        Err(Denial::Absent) => text_reply(StatusCode::NOT_FOUND, "no such object".to_string()),
+        Err(Denial::Conflict) => text_reply(StatusCode::CONFLICT, "another revision".to_string()),
+    }
 }
--- a/crates/bw-gateway/src/forward.rs
+++ b/crates/bw-gateway/src/forward.rs
@@ -13,6 +13,7 @@
 use bw_direct::attempts::Attempts;
 use bw_direct::attempts::Next;
 use bw_direct::attempts::SendEnd;
+use bw_direct::budget::Allowance;
 use bw_direct::budget::RepeatBudget;
 use bw_direct::catalog::pick_target;
 use bw_direct::catalog::Route;
@@ -46,6 +47,7 @@
 use crate::endpoints::Chosen;
 use crate::endpoints::Endpoints;
 use crate::peers::PeerNews;
+use crate::reload::LiveSettings;
 use crate::reply::Refusal;
 use crate::reply::ReplyBody;
 use crate::reply::StreamBroken;
@@ -78,8 +80,8 @@
     pub budget: Arc<Mutex<RepeatBudget>>,
     /// Clock of the process.
     pub clock: BootClock,
-    /// Age of a proof up to which keys are accepted.
-    pub proof_age_max: Duration,
+    /// The settings in force.
+    pub settings: LiveSettings,
 }
 
 /// A request on its way.
@@ -255,7 +257,7 @@
 
     fn is_proved(&self) -> bool {
         let age = self.config.proof_age(self.clock.now());
-        age.is_some_and(|age| age <= self.proof_age_max)
+        age.is_some_and(|age| age <= self.settings.proof_age_max())
     }
 
     async fn read_body(
@@ -278,7 +280,8 @@
     }
 
     async fn forward(&self, mut job: Job) -> Response<ReplyBody> {
-        self.lock_budget().note_request(&job.service, job.arrived);
+        let window = self.settings.get().window;
+        self.lock_budget().note_request(&job.service, window, job.arrived);
         let outcome = self.try_endpoints(&mut job).await;
         match outcome {
             Outcome::Answer(response, status) => {
@@ -348,7 +351,7 @@
         let entries = self.peers.live_count(now);
         let next = match next {
             // Only what follows a request that arrived counts as a repeat.
-            Next::Again if counted && !self.lock_budget().take(&job.service, entries, now) => {
+            Next::Again if counted && !self.take_repeat(&job.service, entries, now) => {
                 job.trace.push_str("no_budget ");
                 match (end, whole.is_some(), job.attempts.may_have_run()) {
                     (SendEnd::Failed, true, _) => Next::Deliver,
@@ -555,6 +558,13 @@
         answer(status.as_u16(), headers, ReplyBody::Events(receiver))
     }
 
+    fn take_repeat(&self, service: &str, entries: usize, now: Duration) -> bool {
+        let settings = self.settings.get();
+        let (ratio, slack) = (settings.ratio, settings.slack);
+        let allowance = Allowance { ratio, slack, window: settings.window };
+        self.lock_budget().take(service, allowance, entries, now)
+    }
+
     fn lock_budget(&self) -> std::sync::MutexGuard<'_, RepeatBudget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod frontend;
 pub mod peers;
 pub mod planner;
+pub mod reload;
 pub mod reply;
 pub mod settings;
 pub mod sync;
--- a/crates/bw-gateway/src/main.rs
+++ b/crates/bw-gateway/src/main.rs
@@ -4,14 +4,9 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
 use argh::FromArgs;
-use bw_adapter::ObjectClient;
-use bw_conf::IniFile;
-use bw_direct::budget::Allowance;
-use bw_direct::budget::RepeatBudget;
 use bw_direct::peers::PeerAddress;
 use bw_gateway::config::Config;
 use bw_gateway::endpoints::Endpoints;
@@ -19,6 +14,9 @@
 use bw_gateway::peers::Gossip;
 use bw_gateway::peers::PeerNews;
 use bw_gateway::planner::PlanService;
+use bw_gateway::reload::follow_file;
+use bw_gateway::reload::read_settings;
+use bw_gateway::reload::LiveSettings;
 use bw_gateway::sync::Sync;
 use bw_gateway::web;
 use bw_gateway::GatewayError;
@@ -30,11 +28,12 @@
 use bw_member::PeerState;
 use bw_model::Incarnation;
 use bw_model::Version;
+use bw_platform::Budget;
+use bw_platform::Store;
 use tokio::net::UdpSocket;
 
-/// Part of the time after which a revoked key opens nothing that a proof's age may reach; the rest
-/// covers a request that is on its way to an endpoint.
-const PROOF_PART: f64 = 0.8;
+/// Seconds of the store's rate that may be used at once.
+const STORE_BURST_SECONDS: f64 = 4.0;
 /// Time between two looks at what readiness depends on.
 const READY_PAUSE: Duration = Duration::from_millis(250);
 /// Time before the platform's kill at which a stop gives up open requests.
@@ -80,19 +79,11 @@
         println!("{}: ok", path.display());
         return Ok(());
     }
-    bw_kernel::logging::start_logger(settings.instance.as_str(), &settings.log);
-    serve(settings).await
+    let _log = bw_kernel::logging::start_logger(settings.instance.as_str(), &settings.log);
+    serve(path, settings).await
 }
 
-fn read_settings(path: &Path) -> Result<Settings, GatewayError> {
-    let file = path.display().to_string();
-    let bytes = std::fs::read(path)
-        .map_err(|error| std::io::Error::new(error.kind(), format!("{file}: {error}")))?;
-    let ini = IniFile::parse_bytes(&file, &bytes)?;
-    Ok(Settings::try_from((file.as_str(), &ini))?)
-}
-
-async fn serve(settings: Settings) -> Result<(), GatewayError> {
+async fn serve(path: &Path, settings: Settings) -> Result<(), GatewayError> {
     let clock = BootClock::start();
     let metrics = Metrics::default();
     let mut kernel = Kernel::new();
@@ -109,24 +100,23 @@
     let peers = PeerNews::new(address.clone(), own, clock.now());
     let config = Config::default();
     let endpoints = Endpoints::new(settings.centre.to_string(), rand::random());
-    let store = ObjectClient::new(&settings.platform);
-    let proof_age_max = settings.revoke.mul_f64(PROOF_PART);
-    let allowance =
-        Allowance { ratio: settings.ratio, slack: settings.slack, window: settings.window };
+    let budget = Budget::new(settings.rate, settings.rate * STORE_BURST_SECONDS);
+    let store = Store::new(&settings.platform, budget, &metrics)?;
+    let live = LiveSettings::new(settings.clone());
     let forwarder = Forwarder {
         config: config.clone(),
         endpoints: endpoints.clone(),
         peers: peers.clone(),
-        budget: Arc::new(Mutex::new(RepeatBudget::new(allowance))),
+        budget: Arc::default(),
         clock,
-        proof_age_max,
+        settings: live.clone(),
     };
     let readiness = web::Readiness {
         config: config.clone(),
         endpoints: endpoints.clone(),
         peers: peers.clone(),
         clock,
-        proof_age_max,
+        settings: live.clone(),
     };
     let sync = Sync {
         store,
@@ -136,6 +126,8 @@
         clock,
     };
 
+    let (path, signals) = (path.to_path_buf(), kernel.reloads());
+    kernel.start("settings", |stop| follow_file(path, live.clone(), signals, stop));
     let socket = UdpSocket::bind(settings.news).await?;
     let seeds = settings.seeds.iter().map(|seed| (seed.ip(), settings.news.port()).into());
     let gossip = Gossip {
@@ -165,8 +157,7 @@
     kernel.start("ready", |stop| bw_http::serve(listener, routes, stop));
     if let Some(directory) = settings.directory {
         let listener = bw_http::bind(directory).await?;
-        let lifetime = settings.lifetime.min(Duration::from_secs(2));
-        let routes = web::directory_routes(peers.clone(), config, clock, lifetime);
+        let routes = web::directory_routes(peers.clone(), config, clock, live.clone());
         kernel.start("directory", |stop| bw_http::serve(listener, routes, stop));
     }
     let listener = bw_http::bind(settings.callers).await?;
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -11,8 +11,6 @@
 
 use bw_adapter::engines;
 use bw_adapter::Object;
-use bw_adapter::ObjectClient;
-use bw_adapter::ObjectError;
 use bw_direct::catalog::Engine;
 use bw_direct::catalog::ExpertShape;
 use bw_duty::Lease;
@@ -31,6 +29,9 @@
 use bw_kernel::Stop;
 use bw_model::Fence;
 use bw_model::MapVersion;
+use bw_platform::Purpose;
+use bw_platform::Store;
+use bw_platform::StoreError;
 use futures::stream::FuturesUnordered;
 use futures::StreamExt;
 use hyper::Method;
@@ -76,7 +77,7 @@
     /// Instance of the gateway.
     pub instance: String,
     /// The store.
-    pub store: ObjectClient,
+    pub store: Store,
     /// The configuration.
     pub config: Config,
     /// The endpoints.
@@ -176,21 +177,16 @@
     }
 
     /// Raises the lease's fencing number by conditional write; `None` when another was first.
-    async fn take_lease(&self) -> Result<Option<Fence>, ObjectError> {
-        let known = self.store.get(LEASES, LEASE).await?;
+    async fn take_lease(&self) -> Result<Option<Fence>, StoreError> {
+        let known = self.store.get(Purpose::Lease, LEASES, LEASE).await?;
         let revision = known.as_ref().map_or(0, |object| object.revision);
         let lease = known.map(|object| object.content::<Lease>()).transpose()?.unwrap_or_default();
         let fence = Fence(lease.fence.0 + 1);
         let next = Lease { holder: self.instance.clone(), fence, renewal: 0 };
         let object = Object::new(LEASES, LEASE, revision, &next)?;
-        let written = if revision == 0 {
-            self.store.create(&object).await
-        } else {
-            self.store.replace(&object).await
-        };
-        match written {
+        match self.store.put(Purpose::Lease, &object).await {
             Ok(_) => Ok(Some(fence)),
-            Err(ObjectError::Conflict) => Ok(None),
+            Err(StoreError::Conflict) => Ok(None),
             Err(error) => Err(error),
         }
     }
--- a/crates/bw-gateway/src/settings.rs
+++ b/crates/bw-gateway/src/settings.rs
@@ -31,6 +31,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Base of the object store.
     pub platform: String,
+    /// Calls a second to the object store.
+    pub rate: f64,
     /// Memory that the process may use, in megabytes.
     pub memory: u64,
     /// Descriptors that the process may open.
@@ -84,6 +86,7 @@
             }
         }
         let platform = section.required("platform", "the object store's address", &mut faults);
+        let rate = section.ranged("platform-calls-per-second", (0.1, 1e4), 25.0, &mut faults);
         let memory = section.ranged("memory-mb", (16, 1_048_576), 256, &mut faults);
         let descriptors = section.ranged("descriptors", (256, 1_048_576), 4_096, &mut faults);
         let grace = section.ranged("grace-s", (0.0, 3_600.0), 8.0, &mut faults);
@@ -119,6 +122,7 @@
             news,
             seeds,
             platform,
+            rate,
             memory,
             descriptors,
             grace: Duration::from_secs_f64(grace),
--- a/crates/bw-gateway/src/sync.rs
+++ b/crates/bw-gateway/src/sync.rs
@@ -7,13 +7,14 @@
 use bw_adapter::endpoints as listing;
 use bw_adapter::objects::Change;
 use bw_adapter::Object;
-use bw_adapter::ObjectClient;
-use bw_adapter::ObjectError;
 use bw_direct::endpoint::Endpoint;
 use bw_direct::peers::PeerAddress;
 use bw_direct::Catalog;
 use bw_kernel::BootClock;
 use bw_kernel::Stop;
+use bw_platform::Purpose;
+use bw_platform::Store;
+use bw_platform::StoreError;
 use log::info;
 use log::warn;
 use rand::Rng;
@@ -33,7 +34,7 @@
 #[derive(Clone)]
 pub struct Sync {
     /// The store.
-    pub store: ObjectClient,
+    pub store: Store,
     /// The configuration.
     pub config: Config,
     /// The endpoints.
@@ -101,7 +102,7 @@
                 self.note("configuration", &watched, &mut lost);
                 match watched {
                     Ok(next) => revision = next,
-                    Err(ObjectError::HistoryGone) => break,
+                    Err(StoreError::HistoryGone) => break,
                     Err(_) => {
                         pause().await;
                         break;
@@ -111,7 +112,7 @@
         }
     }
 
-    async fn list_config(&self) -> Result<u64, ObjectError> {
+    async fn list_config(&self) -> Result<u64, StoreError> {
         let sent = self.clock.now();
         let page = self.store.list(catalog::KIND, "").await?;
         for object in &page.items {
@@ -121,11 +122,11 @@
     }
 
     /// Waits for a change, or for a newer version that a peer has.
-    async fn watch_config(&self, revision: u64) -> Result<u64, ObjectError> {
+    async fn watch_config(&self, revision: u64) -> Result<u64, StoreError> {
         let sent = self.clock.now();
         let version = self.config.version();
         let changes = tokio::select! {
-            changes = self.store.watch(catalog::KIND, revision, WATCH_WAIT) => changes?,
+            changes = self.store.watch_kind(catalog::KIND, revision, WATCH_WAIT) => changes?,
             () = self.config.wanted() => return self.list_config().await,
         };
         if changes.events.is_empty() && changes.unreadable == 0 {
@@ -162,14 +163,14 @@
                 continue;
             };
             loop {
-                let watched = self.store.watch(listing::KIND, revision, WATCH_WAIT).await;
+                let watched = self.store.watch_kind(listing::KIND, revision, WATCH_WAIT).await;
                 self.note("endpoints", &watched, &mut lost);
                 match watched {
                     Ok(changes) => {
                         self.take_changes(&changes.events);
                         revision = changes.revision;
                     }
-                    Err(ObjectError::HistoryGone) => break,
+                    Err(StoreError::HistoryGone) => break,
                     Err(_) => {
                         pause().await;
                         break;
@@ -179,8 +180,8 @@
         }
     }
 
-    async fn list_endpoints(&self) -> Result<u64, ObjectError> {
-        let (list, revision) = self.list_all(listing::KIND).await?;
+    async fn list_endpoints(&self) -> Result<u64, StoreError> {
+        let (list, revision) = self.store.list_all(listing::KIND).await?;
         let decoded = list.iter().filter_map(decode_entry).collect();
         let now = self.clock.now();
         self.endpoints.note_source_up(now);
@@ -200,31 +201,17 @@
         }
     }
 
-    /// Reads all pages of a kind; the revision is that of the first one, so that a watch from it
-    /// tells what changed between the pages.
-    async fn list_all(&self, kind: &str) -> Result<(Vec<Object>, u64), ObjectError> {
-        let mut page = self.store.list(kind, "").await?;
-        let revision = page.revision;
-        let mut list = std::mem::take(&mut page.items);
-        while page.more {
-            let Some(last) = list.last().map(|object: &Object| object.name.clone()) else { break };
-            page = self.store.list(kind, &last).await?;
-            list.append(&mut page.items);
-        }
-        Ok((list, revision))
-    }
-
-    async fn try_join(&self, own: &PeerAddress) -> Result<(), ObjectError> {
+    async fn try_join(&self, own: &PeerAddress) -> Result<(), StoreError> {
         let object = Object::new(GATEWAYS, &own.instance, 0, own)?;
-        match self.store.create(&object).await {
-            Err(ObjectError::Conflict) => {
-                self.store.replace(&object).await?;
+        match self.store.create(Purpose::Write, &object).await {
+            Err(StoreError::Conflict) => {
+                self.store.replace(Purpose::Write, &object).await?;
             }
             created => {
                 created?;
             }
         }
-        let (list, _) = self.list_all(GATEWAYS).await?;
+        let (list, _) = self.store.list_all(GATEWAYS).await?;
         let now = self.clock.now();
         for object in list {
             match object.content::<PeerAddress>() {
@@ -236,7 +223,7 @@
     }
 
     /// Logs when the store is lost and when it is back.
-    fn note<T>(&self, what: &str, result: &Result<T, ObjectError>, lost: &mut Option<Duration>) {
+    fn note<T>(&self, what: &str, result: &Result<T, StoreError>, lost: &mut Option<Duration>) {
         let now = self.clock.now();
         match (result, *lost) {
             (Ok(_), Some(since)) => {
@@ -245,7 +232,7 @@
                 *lost = None;
                 self.endpoints.note_source_up(now);
             }
-            (Ok(_), None) | (Err(ObjectError::HistoryGone), _) => {}
+            (Ok(_), None) | (Err(StoreError::HistoryGone), _) => {}
             (Err(error), known) => {
                 self.endpoints.note_source_down();
                 if known.is_none() {
--- a/crates/bw-gateway/src/web.rs
+++ b/crates/bw-gateway/src/web.rs
@@ -19,6 +19,11 @@
 use crate::config::Config;
 use crate::endpoints::Endpoints;
 use crate::peers::PeerNews;
+use crate::reload::LiveSettings;
+
+/// Time for which callers may keep addresses at most; short, so that they soon miss a gateway that
+/// has vanished.
+const LIFETIME_MAX: Duration = Duration::from_secs(2);
 
 /// What readiness depends on.
 #[derive(Clone)]
@@ -31,15 +36,15 @@
     pub peers: PeerNews,
     /// Clock of the process.
     pub clock: BootClock,
-    /// Age of a proof up to which keys are accepted.
-    pub proof_age_max: Duration,
+    /// The settings in force.
+    pub settings: LiveSettings,
 }
 
 impl Readiness {
     /// Whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let proof = self.config.proof_age(self.clock.now());
-        let proved = proof.is_some_and(|age| age <= self.proof_age_max);
+        let proved = proof.is_some_and(|age| age <= self.settings.proof_age_max());
         proved && !self.endpoints.is_empty() && !self.peers.is_leaving()
     }
 }
@@ -63,10 +68,10 @@
     peers: PeerNews,
     config: Config,
     clock: BootClock,
-    lifetime: Duration,
+    settings: LiveSettings,
 ) -> Router {
     let resolve = move |request: Request| {
-        let reply = resolve(&request, &peers, &config, clock, lifetime);
+        let reply = resolve(&request, &peers, &config, clock, &settings);
         async move { Ok(reply) }
     };
     Router::new().get(RESOLVE_PATH, resolve)
@@ -77,10 +82,11 @@
     peers: &PeerNews,
     config: &Config,
     clock: BootClock,
-    lifetime: Duration,
+    settings: &LiveSettings,
 ) -> Response {
     let lookup = decode_lookup(request.query_string().unwrap_or(""));
     let known = config.current().is_none_or(|catalog| catalog.has_host(&lookup.host));
+    let lifetime = settings.get().lifetime.min(LIFETIME_MAX);
     let addresses = peers.caller_addresses(clock.now());
     if addresses.is_empty() || !known {
         return text_reply(StatusCode::SERVICE_UNAVAILABLE, "no address is known".to_string());
--- a/crates/bw-kernel/src/kernel.rs
+++ b/crates/bw-kernel/src/kernel.rs
@@ -8,7 +8,8 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
 
 use crate::error::KernelError;
 use crate::registry::Registry;
@@ -104,18 +105,20 @@
 
     /// Runs until SIGTERM, SIGINT or the failure of a service, then stops all in reverse order.
     ///
-    /// Each service gets at most `grace` to finish what is in flight.
+    /// All services together get at most `grace` to finish what is in flight.
     ///
     /// # Errors
     /// The first service error.
     pub async fn run(mut self, grace: Duration) -> Result<(), KernelError> {
         let failed = self.wait_end().await?;
         let mut first = failed;
+        let deadline = Instant::now() + grace;
         while let Some(service) = self.running.pop() {
-            if let Some(error) = stop_service(service, grace).await {
+            if let Some(error) = stop_service(service, deadline).await {
                 first.get_or_insert(error);
             }
         }
+        info!("event=stopped failed={}", first.is_some());
         first.map_or(Ok(()), Err)
     }
 
@@ -152,17 +155,17 @@
     }
 }
 
-async fn stop_service(service: Running, grace: Duration) -> Option<KernelError> {
+async fn stop_service(service: Running, deadline: Instant) -> Option<KernelError> {
     let name = service.name.clone();
     let abort = service.task.abort_handle();
     let _ = service.stop.send(true);
-    match timeout(grace, join_service(service)).await {
+    match timeout_at(deadline, join_service(service)).await {
         Ok(error) => {
             info!("event=service_stopped service={name}");
             error
         }
         Err(_) => {
-            warn!("event=service_aborted service={name} grace_ms={}", grace.as_millis());
+            warn!("event=service_aborted service={name} reason=grace_is_over");
             abort.abort();
             None
         }
--- a/crates/bw-platform/src/claims.rs
+++ b/crates/bw-platform/src/claims.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bw_adapter::Object;
 use bw_kernel::unix_millis;
 use bw_model::KeyHash;
 use bw_once::claim::Swap;
@@ -20,7 +21,6 @@
 
 use crate::budget::Purpose;
 use crate::error::StoreError;
-use crate::object::Object;
 use crate::store::Store;
 
 const HEADS: &str = "claimshards";
@@ -45,8 +45,8 @@
 #[derive(Default)]
 struct Known {
     shard: Shard,
-    /// Version of the head object; `None` before the first read.
-    object: Option<String>,
+    /// Revision of the head object, 0 where it does not exist; `None` before the first read.
+    object: Option<u64>,
 }
 
 /// The claims of all shards.
@@ -134,23 +134,23 @@
             return self.confirm(shard, known).await;
         };
         if let Some((name, claims)) = &batch.seal {
-            let object = Object::new(SEALED, name, "", claims)?;
+            let object = Object::new(SEALED, name, 0, claims)?;
             self.store.create(Purpose::Claim, &object).await.map_err(not_taken)?;
         }
-        let version = known.object.clone().unwrap_or_default();
-        let object = Object::new(HEADS, &shard_name(shard), &version, head)?;
+        let revision = known.object.unwrap_or_default();
+        let object = Object::new(HEADS, &shard_name(shard), revision, head)?;
         let written = self.store.put(Purpose::Claim, &object).await?;
         if let Some((name, claims)) = &batch.seal {
             known.shard.set_sealed(name.clone(), claims.clone());
         }
         known.shard.set_head(head.clone());
-        known.object = Some(written.metadata.version);
+        known.object = Some(written.revision);
         Ok(())
     }
 
     /// Succeeds when the head has not changed since it was read.
     async fn confirm(&self, shard: u32, known: &mut Known) -> Result<(), StoreError> {
-        let before = known.object.clone();
+        let before = known.object;
         self.refresh(shard, known).await?;
         if known.object == before {
             Ok(())
@@ -161,16 +161,16 @@
 
     async fn refresh(&self, shard: u32, known: &mut Known) -> Result<(), StoreError> {
         let object = self.store.get(Purpose::Claim, HEADS, &shard_name(shard)).await?;
-        let (head, version) = match object {
-            Some(object) => (object.content()?, object.metadata.version),
-            None => (ShardHead::default(), String::new()),
+        let (head, revision) = match object {
+            Some(object) => (object.content()?, object.revision),
+            None => (ShardHead::default(), 0),
         };
         for name in known.shard.set_head(head) {
             let sealed = self.store.get(Purpose::Claim, SEALED, &name).await?;
             let claims: Claims = sealed.ok_or(StoreError::Absent)?.content()?;
             known.shard.set_sealed(name, claims);
         }
-        known.object = known.shard.is_complete().then_some(version);
+        known.object = known.shard.is_complete().then_some(revision);
         Ok(())
     }
 }
--- a/crates/bw-platform/src/config.rs
+++ b/crates/bw-platform/src/config.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use bw_adapter::Object;
 use bw_conf::Document;
 use bw_model::Version;
 use serde::Deserialize;
@@ -15,7 +16,6 @@
 
 use crate::budget::Purpose;
 use crate::error::StoreError;
-use crate::object::Object;
 use crate::store::Store;
 
 const HEADS: &str = "configurations";
@@ -41,13 +41,13 @@
     pub retired: Vec<(String, Version)>,
 }
 
-/// The head as read, with the object's version for the next conditional write.
+/// The head as read, with the object's revision for the next conditional write.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HeadRead {
     /// The head; the default one when no configuration was accepted yet.
     pub head: Head,
-    /// Version of the object; empty when it does not exist.
-    pub object: String,
+    /// Revision of the object; 0 when it does not exist.
+    pub object: u64,
 }
 
 /// How an attempt to accept a configuration ended.
@@ -80,11 +80,11 @@
         object.map_or(Ok(HeadRead::default()), |object| read_head(&object))
     }
 
-    /// Waits for a head after the one of object version `after`.
+    /// Waits for a head after the one of revision `after`.
     ///
     /// # Errors
     /// [`StoreError`].
-    pub async fn watch(&self, after: &str, wait: Duration) -> Result<Option<HeadRead>, StoreError> {
+    pub async fn watch(&self, after: u64, wait: Duration) -> Result<Option<HeadRead>, StoreError> {
         let object = self.store.watch(HEADS, HEAD, after, wait).await?;
         object.map(|object| read_head(&object)).transpose()
     }
@@ -129,7 +129,7 @@
         let (retired, expired) = retire(&read.head, &parts, version);
         let nonce = Uuid::new_v4().to_string();
         let head = Head { version, nonce: nonce.clone(), parts, retired };
-        let object = Object::new(HEADS, HEAD, &read.object, &head)?;
+        let object = Object::new(HEADS, HEAD, read.object, &head)?;
         let applied = match self.store.put(Purpose::Write, &object).await {
             Ok(_) => Applied::Accepted(version),
             Err(StoreError::Conflict | StoreError::Unknown(_)) => {
@@ -186,7 +186,7 @@
             let reason = format!("a part has {} bytes, at most {PART_BYTES_MAX}", part.bytes());
             return Err(StoreError::Form(reason));
         }
-        let object = Object::new(PARTS, name, "", part)?;
+        let object = Object::new(PARTS, name, 0, part)?;
         match self.store.create(Purpose::Write, &object).await {
             // The name is a hash of the content, so an existing part is the same part.
             Ok(_) | Err(StoreError::Conflict) => Ok(()),
@@ -201,12 +201,12 @@
 
     async fn part(self, name: String) -> Result<Document, StoreError> {
         let object = self.store.get(Purpose::Read, PARTS, &name).await?;
-        object.ok_or(StoreError::Absent)?.content()
+        Ok(object.ok_or(StoreError::Absent)?.content()?)
     }
 }
 
 fn read_head(object: &Object) -> Result<HeadRead, StoreError> {
-    Ok(HeadRead { head: object.content()?, object: object.metadata.version.clone() })
+    Ok(HeadRead { head: object.content()?, object: object.revision })
 }
 
 fn part_name(part: &Document) -> Result<String, StoreError> {
--- a/crates/bw-platform/src/error.rs
+++ b/crates/bw-platform/src/error.rs
@@ -1,17 +1,19 @@
-//! Errors of the object API.
+//! Errors of the object store.
 
 use std::fmt;
 use std::time::Duration;
 
-use bw_http::ClientError;
+use bw_adapter::ObjectError;
 
-/// Why a call to the object API failed.
+/// Why a call to the object store failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreError {
     /// The object's version is not the expected one; nothing was changed.
     Conflict,
     /// The object does not exist.
     Absent,
+    /// The changes after the revision are no longer kept.
+    HistoryGone,
     /// The own call budget is spent; nothing was sent.
     Budget {
         /// Time until a call may succeed.
@@ -30,6 +32,7 @@
         match self {
             Self::Conflict => write!(f, "the object has another version"),
             Self::Absent => write!(f, "the object does not exist"),
+            Self::HistoryGone => write!(f, "the changes after this revision are gone"),
             Self::Budget { wait } => {
                 write!(f, "the call budget is spent for {} ms", wait.as_millis())
             }
@@ -42,13 +45,15 @@
 
 impl std::error::Error for StoreError {}
 
-impl From<ClientError> for StoreError {
-    fn from(error: ClientError) -> Self {
+impl From<ObjectError> for StoreError {
+    fn from(error: ObjectError) -> Self {
         match error {
-            ClientError::Connect(reason) | ClientError::Request(reason) => {
-                Self::Unavailable(reason)
-            }
-            other => Self::Unknown(other.to_string()),
+            ObjectError::Conflict => Self::Conflict,
+            ObjectError::Absent => Self::Absent,
+            ObjectError::HistoryGone => Self::HistoryGone,
+            ObjectError::Unavailable(reason) => Self::Unavailable(reason),
+            ObjectError::Unknown(reason) => Self::Unknown(reason),
+            ObjectError::Form(reason) => Self::Form(reason),
         }
     }
 }
--- a/crates/bw-platform/src/lib.rs
+++ b/crates/bw-platform/src/lib.rs
@@ -1,18 +1,16 @@
-//! Client of the platform's object API.
+//! The product's use of the platform's object store: call budget, claims and configuration.
 //!
-//! Objects follow the conventions of the Kubernetes API: a resource version on each object,
-//! conditional updates that answer 409, and watches. Each call is counted and limited by purpose.
+//! Each call is counted and limited by purpose; names and formats are those of `bw-adapter`.
 
 pub mod budget;
 pub mod claims;
 pub mod config;
 pub mod error;
-pub mod object;
 pub mod store;
 
 pub use budget::Budget;
 pub use budget::Purpose;
+pub use bw_adapter::Object;
 pub use config::ConfigStore;
 pub use error::StoreError;
-pub use object::Object;
 pub use store::Store;
--- a/crates/bw-platform/src/store.rs
+++ b/crates/bw-platform/src/store.rs
@@ -1,54 +1,46 @@
-//! Calls to the object API over HTTP.
+//! Calls to the object store, counted and limited by purpose.
 
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use bw_http::Client;
+use bw_adapter::objects::Changes;
+use bw_adapter::objects::Page;
+use bw_adapter::Object;
+use bw_adapter::ObjectClient;
+use bw_adapter::ObjectError;
 use bw_kernel::KernelError;
 use bw_kernel::Metrics;
-use bytes::Bytes;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use hyper::Method;
-use hyper::Request;
 use prometheus::IntCounterVec;
-use tokio::time::timeout;
 use tokio::time::Instant;
 
 use crate::budget::Budget;
 use crate::budget::Purpose;
 use crate::error::StoreError;
-use crate::object::Object;
-use crate::object::WatchEvent;
 
-const CALL_LIMIT: Duration = Duration::from_millis(1_500);
-
-/// The object API as one process uses it.
+/// The object store as one process uses it.
 #[derive(Clone)]
 pub struct Store {
-    base: String,
-    client: Client,
+    client: ObjectClient,
     budget: Arc<Mutex<Budget>>,
     start: Instant,
     calls: IntCounterVec,
 }
 
 impl Store {
-    /// The API at `base`, such as `http://10.0.0.2:6443`, within `budget`.
+    /// The store at `base`, such as `http://10.0.0.2:6443`, within `budget`.
     ///
     /// # Errors
     /// [`KernelError::Metric`] when the process has a store already.
     pub fn new(base: &str, budget: Budget, metrics: &Metrics) -> Result<Self, KernelError> {
         let calls = metrics.counter(
             "bw_platform_calls_total",
-            "Calls to the object API by purpose and result.",
+            "Calls to the object store by purpose and result.",
             &["purpose", "result"],
         )?;
         Ok(Self {
-            base: base.trim_end_matches('/').to_string(),
-            client: Client::new(),
+            client: ObjectClient::new(base),
             budget: Arc::new(Mutex::new(budget)),
             start: Instant::now(),
             calls,
@@ -65,12 +57,32 @@
         kind: &str,
         name: &str,
     ) -> Result<Option<Object>, StoreError> {
-        let url = self.url(kind, name);
-        match self.call(purpose, Method::GET, &url, None).await {
-            Ok(object) => Ok(Some(object)),
-            Err(StoreError::Absent) => Ok(None),
-            Err(error) => Err(error),
+        self.call(purpose, self.client.get(kind, name)).await
+    }
+
+    /// Reads the objects of a kind whose names come after `after`.
+    ///
+    /// # Errors
+    /// [`StoreError`].
+    pub async fn list(&self, kind: &str, after: &str) -> Result<Page, StoreError> {
+        self.call(Purpose::Read, self.client.list(kind, after)).await
+    }
+
+    /// Reads all objects of a kind, and the revision of the first page, so that a watch from it
+    /// tells what changed between the pages.
+    ///
+    /// # Errors
+    /// [`StoreError`].
+    pub async fn list_all(&self, kind: &str) -> Result<(Vec<Object>, u64), StoreError> {
+        let mut page = self.list(kind, "").await?;
+        let revision = page.revision;
+        let mut list = std::mem::take(&mut page.items);
+        while page.more {
+            let Some(last) = list.last().map(|object| object.name.clone()) else { break };
+            page = self.list(kind, &last).await?;
+            list.append(&mut page.items);
         }
+        Ok((list, revision))
     }
 
     /// Creates an object that must not exist yet.
@@ -78,44 +90,51 @@
     /// # Errors
     /// [`StoreError::Conflict`] when it exists.
     pub async fn create(&self, purpose: Purpose, object: &Object) -> Result<Object, StoreError> {
-        let url = self.kind_url(&object.kind);
-        self.call(purpose, Method::POST, &url, Some(object)).await
+        self.call(purpose, self.client.create(object)).await
     }
 
-    /// Replaces an object of the version that `object` carries.
+    /// Replaces an object of the revision that `object` carries, or of any when that is 0.
     ///
     /// # Errors
-    /// [`StoreError::Conflict`] when it has another version.
+    /// [`StoreError::Conflict`] when it has another revision.
     pub async fn replace(&self, purpose: Purpose, object: &Object) -> Result<Object, StoreError> {
-        let url = self.url(&object.kind, &object.metadata.name);
-        self.call(purpose, Method::PUT, &url, Some(object)).await
+        self.call(purpose, self.client.replace(object)).await
     }
 
-    /// Creates the object when it carries no version, otherwise replaces that version.
+    /// Creates the object when it carries no revision, otherwise replaces that revision.
     ///
     /// # Errors
     /// [`StoreError::Conflict`] when the object is not as expected.
     pub async fn put(&self, purpose: Purpose, object: &Object) -> Result<Object, StoreError> {
-        if object.metadata.version.is_empty() {
+        if object.revision == 0 {
             self.create(purpose, object).await
         } else {
             self.replace(purpose, object).await
         }
     }
 
-    /// Deletes an object, whatever its version.
+    /// Deletes an object, whatever its revision.
     ///
     /// # Errors
     /// [`StoreError`].
     pub async fn delete(&self, purpose: Purpose, kind: &str, name: &str) -> Result<(), StoreError> {
-        let url = self.url(kind, name);
-        match self.call(purpose, Method::DELETE, &url, None).await {
-            Ok(_) | Err(StoreError::Absent) => Ok(()),
-            Err(error) => Err(error),
-        }
+        self.call(purpose, self.client.remove(kind, name)).await
     }
 
-    /// Waits for a change of one object after `version`; `None` when `wait` ends first.
+    /// Waits up to `wait` for changes of a kind after `revision`.
+    ///
+    /// # Errors
+    /// [`StoreError::HistoryGone`] when the kind has to be listed anew; others as usual.
+    pub async fn watch_kind(
+        &self,
+        kind: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Changes, StoreError> {
+        self.call(Purpose::Watch, self.client.watch(kind, revision, wait)).await
+    }
+
+    /// Waits for a change of one object after `revision`; `None` when `wait` ends first.
     ///
     /// # Errors
     /// [`StoreError`].
@@ -123,77 +142,48 @@
         &self,
         kind: &str,
         name: &str,
-        version: &str,
+        revision: u64,
         wait: Duration,
     ) -> Result<Option<Object>, StoreError> {
-        self.spend(Purpose::Watch)?;
-        let url = format!(
-            "{}?watch=true&fieldSelector=metadata.name%3D{name}&resourceVersion={version}\
-             &timeoutSeconds={}",
-            self.kind_url(kind),
-            wait.as_secs().max(1),
-        );
-        let result = match timeout(wait + CALL_LIMIT, self.first_event(&url)).await {
-            Ok(result) => result,
-            Err(_) => Err(StoreError::Unknown("the watch went silent".to_string())),
-        };
-        self.count(Purpose::Watch, result.as_ref().err());
-        result
+        let deadline = Instant::now() + wait;
+        let mut after = revision;
+        loop {
+            let left = deadline.saturating_duration_since(Instant::now());
+            let changes = match self.watch_kind(kind, after, left).await {
+                Err(StoreError::HistoryGone) => {
+                    let object = self.get(Purpose::Read, kind, name).await?;
+                    return Ok(object.filter(|object| object.revision > revision));
+                }
+                changes => changes?,
+            };
+            after = changes.revision;
+            let mut events = changes.events.into_iter().filter(|event| event.object.name == name);
+            if let Some(event) = events.next_back() {
+                return Ok(Some(event.object));
+            }
+            if Instant::now() >= deadline {
+                return Ok(None);
+            }
+        }
     }
 
     /// Counts the calls made so far for `purpose` that reached the platform.
     pub fn calls(&self, purpose: Purpose) -> u64 {
-        let results = ["ok", "conflict", "unavailable", "unknown", "form"];
+        let results = ["ok", "conflict", "history_gone", "unavailable", "unknown", "form"];
         let count = |result| self.calls.with_label_values(&[purpose.name(), result]).get();
         results.into_iter().map(count).sum()
     }
 
-    async fn first_event(&self, url: &str) -> Result<Option<Object>, StoreError> {
-        let request = Request::get(url).body(Full::<Bytes>::default());
-        let request = request.map_err(|error| StoreError::Unavailable(error.to_string()))?;
-        let response = self.client.send(request, CALL_LIMIT).await?;
-        check_status(response.status().as_u16(), "")?;
-        let mut body = response.into_body();
-        let mut line = Vec::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| StoreError::Unknown(error.to_string()))?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            line.extend_from_slice(&data);
-            if let Some(end) = line.iter().position(|byte| *byte == b'\n') {
-                let event: WatchEvent = serde_json::from_slice(&line[..end])
-                    .map_err(|error| StoreError::Form(error.to_string()))?;
-                return Ok(Some(event.object));
-            }
-        }
-        Ok(None)
-    }
-
-    async fn call(
-        &self,
-        purpose: Purpose,
-        method: Method,
-        url: &str,
-        body: Option<&Object>,
-    ) -> Result<Object, StoreError> {
+    async fn call<F, T>(&self, purpose: Purpose, exchange: F) -> Result<T, StoreError>
+    where
+        F: std::future::Future<Output = Result<T, ObjectError>>,
+    {
         self.spend(purpose)?;
-        let result = self.exchange(method, url, body).await;
+        let result = exchange.await.map_err(StoreError::from);
         self.count(purpose, result.as_ref().err());
         result
     }
 
-    async fn exchange(
-        &self,
-        method: Method,
-        url: &str,
-        body: Option<&Object>,
-    ) -> Result<Object, StoreError> {
-        let reply = self.client.call(method, url, body, CALL_LIMIT).await?;
-        check_status(reply.status, &String::from_utf8_lossy(&reply.body))?;
-        serde_json::from_slice(&reply.body).map_err(|error| StoreError::Form(error.to_string()))
-    }
-
     fn spend(&self, purpose: Purpose) -> Result<(), StoreError> {
         let now = self.start.elapsed();
         let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
@@ -207,6 +197,7 @@
         let result = match error {
             None | Some(StoreError::Absent) => "ok",
             Some(StoreError::Conflict) => "conflict",
+            Some(StoreError::HistoryGone) => "history_gone",
             Some(StoreError::Budget { .. }) => "over_budget",
             Some(StoreError::Unavailable(_)) => "unavailable",
             Some(StoreError::Unknown(_)) => "unknown",
@@ -214,25 +205,4 @@
         };
         self.calls.with_label_values(&[purpose.name(), result]).inc();
     }
-
-    fn kind_url(&self, kind: &str) -> String {
-        format!("{}/apis/{}/{kind}", self.base, crate::object::API)
-    }
-
-    fn url(&self, kind: &str, name: &str) -> String {
-        format!("{}/{name}", self.kind_url(kind))
-    }
-}
-
-/// Maps statuses of the API. 429 and 503 are answered before the platform acts; other server
-/// errors may come after it.
-fn check_status(status: u16, body: &str) -> Result<(), StoreError> {
-    match status {
-        200..=299 => Ok(()),
-        404 => Err(StoreError::Absent),
-        409 => Err(StoreError::Conflict),
-        429 | 503 => Err(StoreError::Unavailable(format!("status {status}"))),
-        400..=499 => Err(StoreError::Form(format!("status {status}: {body}"))),
-        _ => Err(StoreError::Unknown(format!("status {status}"))),
-    }
 }
