Give each gateway home slots at endpoints, and let requests wait at the gateway

Load: 33 gateways choosing among 72 endpoints of 10 slots on news 200 ms old, 295 requests a second. All took the endpoint that looked least loaded and met there: busiest over mean 1.51, 603 of 8,596 arrivals turned away, first events after more than 2 s. Ruled out: fresher news alone (at 33 gateways each start told to all others would be 10,000 datagrams a second, and grows with the square); two random choices on the same news. Change: place::deal_homes gives each slot to one gateway in turn; place takes a free home slot first and else the least loaded of four free ones drawn at random; where none is free the request waits with the gateway in bw-route's fair queue (now generic over its key) and is turned away at once when the expected wait exceeds what callers bear. A standstill is expected to last as long again.

--- a/crates/bw-direct/src/attempts.rs
+++ b/crates/bw-direct/src/attempts.rs
@@ -77,9 +77,14 @@
         if affordable && open && (self.idempotent || !ran) {
             return Next::Again;
         }
+        self.last(end)
+    }
+
+    /// What follows a send that ended so when there is none after it.
+    pub fn last(&self, end: SendEnd) -> Next {
         match end {
             SendEnd::Failed => Next::Deliver,
-            _ if ran => Next::Unknown,
+            _ if self.runs > 0 => Next::Unknown,
             _ => Next::Refuse,
         }
     }
--- a/crates/bw-direct/src/endpoint.rs
+++ b/crates/bw-direct/src/endpoint.rs
@@ -155,6 +155,15 @@
         self.slots.iter()
     }
 
+    /// Endpoints of a service that are listed at `now`, whether their groups take requests or not.
+    pub fn listed<'a>(
+        &'a self,
+        service: &str,
+        now: Duration,
+    ) -> impl Iterator<Item = EndpointKey> + 'a {
+        self.of_service(service).iter().copied().filter(move |key| self.is_usable(*key, now))
+    }
+
     /// Whether an endpoint may get new work at `now`.
     pub fn is_usable(&self, key: EndpointKey, now: Duration) -> bool {
         self.slots.get(key).is_some_and(|slot| match slot.standing {
@@ -164,13 +173,20 @@
         })
     }
 
+    /// Whether the group that an endpoint belongs to takes requests, as far as is known.
+    fn is_open(&self, key: EndpointKey) -> bool {
+        let member = self.slots.get(key).and_then(|slot| slot.endpoint.member.as_ref());
+        member.is_none_or(|member| member.open)
+    }
+
     /// Endpoints of a service that may get new work at `now`.
     pub fn usable<'a>(
         &'a self,
         service: &str,
         now: Duration,
     ) -> impl Iterator<Item = EndpointKey> + 'a {
-        self.of_service(service).iter().copied().filter(move |key| self.is_usable(*key, now))
+        let usable = move |key: &EndpointKey| self.is_usable(*key, now) && self.is_open(*key);
+        self.of_service(service).iter().copied().filter(usable)
     }
 
     /// Notes that a call to the store failed.
--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -8,7 +8,9 @@
 pub mod endpoint;
 pub mod events;
 pub mod load;
+pub mod patience;
 pub mod peers;
+pub mod place;
 pub mod request;
 
 pub use catalog::Catalog;
--- a/crates/bw-direct/src/load.rs
+++ b/crates/bw-direct/src/load.rs
@@ -1,23 +1,15 @@
-//! How loaded each endpoint is, from what all entries have sent there, and the choice of one.
+//! How loaded each endpoint is, from what all entries have sent there.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use bw_model::Key;
-use rand::Rng;
 use smallvec::SmallVec;
 
 use crate::endpoint::EndpointKey;
 
 /// Age at which a peer's news of its load no longer counts.
 const PEER_AGE_MAX: Duration = Duration::from_millis(1_500);
-/// Prompt tokens that weigh as much as one running request while they are not yet read.
-const PROMPT_UNIT: f64 = 2_000.0;
-/// Score added for an endpoint in another data centre; breaks ties between equal loads.
-const FAR: f64 = 0.02;
-/// Largest random part of a score; keeps entries with equal knowledge from choosing alike.
-const NOISE: f64 = 0.05;
-
 /// Work that is at one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
@@ -100,6 +92,12 @@
         totals
     }
 
+    /// Age of the oldest news of a peer that counts.
+    pub fn oldest(&self, now: Duration) -> Duration {
+        let ages = self.peers.values().map(|peer| now.saturating_sub(peer.heard));
+        ages.filter(|age| *age <= PEER_AGE_MAX).max().unwrap_or_default()
+    }
+
     fn own_mut(&mut self, key: EndpointKey) -> &mut Work {
         if self.own.len() <= key.index() {
             self.own.resize(key.index() + 1, Work::default());
@@ -107,35 +105,3 @@
         &mut self.own[key.index()]
     }
 }
-
-/// An endpoint that a request may go to.
-#[derive(Clone, Copy, Debug)]
-pub struct Candidate {
-    /// The endpoint.
-    pub key: EndpointKey,
-    /// Requests that it runs at a time.
-    pub slots: u32,
-    /// Work there.
-    pub work: Work,
-    /// Whether it stands in another data centre.
-    pub far: bool,
-    /// Factor by which it is slower than its peers; 1 for none.
-    pub slowness: f64,
-}
-
-impl Candidate {
-    /// Requests per slot after one more, with unread prompts counted as requests.
-    fn score(&self) -> f64 {
-        let work = f64::from(self.work.requests + 1) + f64::from(self.work.prompt) / PROMPT_UNIT;
-        self.slowness * work / f64::from(self.slots.max(1)) + if self.far { FAR } else { 0.0 }
-    }
-}
-
-/// The least loaded candidate.
-pub fn choose<R>(candidates: &[Candidate], random: &mut R) -> Option<Candidate>
-where
-    R: Rng,
-{
-    let scored = candidates.iter().map(|one| (one.score() + random.random_range(0.0..NOISE), one));
-    scored.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, one)| *one)
-}
--- a/crates/bw-entry/src/queue.rs
+++ b/crates/bw-entry/src/queue.rs
@@ -37,7 +37,7 @@
 
 #[derive(Default)]
 struct Lanes {
-    admission: Admission,
+    admission: Admission<WorkspaceKey>,
     waiters: HashMap<Ticket, oneshot::Sender<Result<Admitted, TurnedAway>>>,
     /// Requests admitted that have not reached an endpoint yet.
     pending: Arc<AtomicU32>,
--- a/crates/bw-fake/src/platform.rs
+++ b/crates/bw-fake/src/platform.rs
@@ -139,7 +139,7 @@
             let store = store.clone();
             async move { store.serve(request).await }
         };
-        Router::new().any(&format!("{OBJECTS_PATH}/*"), call)
+        Router::new().any(format!("{OBJECTS_PATH}/*"), call)
     }
 
     async fn serve(&self, mut request: Request) -> Result<Response> {
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -13,11 +13,13 @@
 use bw_direct::endpoint::EndpointKey;
 use bw_direct::endpoint::Noted;
 use bw_direct::endpoint::Table;
-use bw_direct::load::choose;
-use bw_direct::load::Candidate;
 use bw_direct::load::Loads;
 use bw_direct::load::Work;
 use bw_direct::peers::WorkNews;
+use bw_direct::place::deal_homes;
+use bw_direct::place::place;
+use bw_direct::place::Candidate;
+use bw_direct::place::Found;
 use bw_http::Channel;
 use bw_model::hash::rendezvous_weight;
 use bw_model::Key;
@@ -25,7 +27,6 @@
 use log::info;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
-use smallvec::SmallVec;
 
 /// Idle connections kept to one endpoint.
 const IDLE_MAX: usize = 4;
@@ -54,6 +55,8 @@
     sides: Vec<Side>,
     hashes: HashMap<u64, EndpointKey>,
     random: SmallRng,
+    /// Place of this gateway among those that are alive, and their number.
+    seat: (usize, usize),
 }
 
 /// A group as the list names it.
@@ -97,8 +100,10 @@
     pub address: SocketAddr,
     /// Work there before this request.
     pub work: Work,
-    /// Endpoints that were looked at.
-    pub candidates: usize,
+    /// How it was found.
+    pub found: Found,
+    /// Age of the oldest news of another gateway that the choice rests on.
+    pub age: Duration,
 }
 
 /// All endpoints as the gateway's services share them.
@@ -117,6 +122,7 @@
             sides: Vec::new(),
             hashes: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
+            seat: (0, 1),
         };
         Self { state: Arc::new(Mutex::new(state)), centre }
     }
@@ -165,8 +171,13 @@
         self.len() == 0
     }
 
-    /// Chooses an endpoint of a service and counts the request there.
-    pub fn choose(
+    /// Sets the place of this gateway among those that are alive, and their number.
+    pub fn set_seat(&self, place: usize, gateways: usize) {
+        self.lock().seat = (place, gateways);
+    }
+
+    /// Places a request at an endpoint of a service with a free slot, and counts it there.
+    pub fn place(
         &self,
         service: &str,
         exclude: &[EndpointKey],
@@ -174,44 +185,33 @@
         now: Duration,
     ) -> Option<Chosen> {
         let mut state = self.lock();
-        let state = &mut *state;
-        let usable: SmallVec<[EndpointKey; 16]> =
-            state.table.usable(service, now).filter(|key| !exclude.contains(key)).collect();
-        let healthy: SmallVec<[EndpointKey; 16]> =
-            usable.iter().copied().filter(|key| !state.is_ejected(*key, now)).collect();
-        let keys = if healthy.len() * 2 >= usable.len() { healthy } else { usable };
-        let totals = state.loads.total(&keys, now);
-        let candidates: SmallVec<[Candidate; 16]> = keys
-            .iter()
-            .zip(totals)
-            .filter_map(|(key, work)| {
-                let endpoint = &state.table.get(*key)?.endpoint;
-                Some(Candidate {
-                    key: *key,
-                    slots: endpoint.slots,
-                    work,
-                    far: endpoint.centre != self.centre,
-                    slowness: state.sides[key.index()].ejection.load_factor(now),
-                })
-            })
-            .collect();
-        let best = choose(&candidates, &mut state.random)?;
+        let candidates = state.candidates(service, exclude, &self.centre, now);
+        let (best, found) = place(&candidates, &mut state.random)?;
         state.loads.start(best.key, prompt);
+        let age = state.loads.oldest(now);
         let endpoint = &state.table.get(best.key)?.endpoint;
         Some(Chosen {
             key: best.key,
             name: endpoint.name.clone(),
             address: endpoint.address,
             work: best.work,
-            candidates: candidates.len(),
+            found,
+            age,
         })
     }
 
+    /// Whether a service has endpoints, even if none takes requests now.
+    pub fn serves(&self, service: &str, now: Duration) -> bool {
+        let state = self.lock();
+        let serves = state.table.listed(service, now).next().is_some();
+        serves
+    }
+
     /// The groups of a service.
     pub fn groups(&self, service: &str, now: Duration) -> Vec<GroupView> {
         let state = self.lock();
         let mut groups: BTreeMap<String, GroupView> = BTreeMap::new();
-        for key in state.table.usable(service, now) {
+        for key in state.table.listed(service, now) {
             let Some(slot) = state.table.get(key) else { continue };
             let Some(member) = &slot.endpoint.member else { continue };
             let group = groups.entry(member.group.clone()).or_insert_with(|| GroupView {
@@ -351,6 +351,46 @@
         );
     }
 
+    /// Endpoints of a service that a request may go to.
+    fn candidates(
+        &self,
+        service: &str,
+        exclude: &[EndpointKey],
+        centre: &str,
+        now: Duration,
+    ) -> Vec<Candidate> {
+        let mut keys: Vec<EndpointKey> = self.table.usable(service, now).collect();
+        // All gateways deal home slots in the same order.
+        keys.sort_by_key(|key| self.sides[key.index()].hash);
+        let slots: Vec<u32> = keys.iter().map(|key| self.slots(*key)).collect();
+        let homes = deal_homes(&slots, self.seat.0, self.seat.1);
+        let works = self.loads.total(&keys, now);
+        let all = keys.iter().zip(slots).zip(homes).zip(works);
+        let candidates = all.filter(|(((key, _), _), _)| !exclude.contains(key));
+        let candidates: Vec<Candidate> = candidates
+            .map(|(((key, slots), homes), work)| Candidate {
+                key: *key,
+                slots,
+                work,
+                own: self.loads.own_at(*key).requests,
+                homes,
+                far: self.table.get(*key).is_some_and(|slot| slot.endpoint.centre != centre),
+                slowness: self.sides[key.index()].ejection.load_factor(now),
+            })
+            .collect();
+        let healthy: Vec<Candidate> =
+            candidates.iter().copied().filter(|one| !self.is_ejected(one.key, now)).collect();
+        if healthy.len() * 2 >= candidates.len() {
+            healthy
+        } else {
+            candidates
+        }
+    }
+
+    fn slots(&self, key: EndpointKey) -> u32 {
+        self.table.get(key).map_or(0, |slot| slot.endpoint.slots)
+    }
+
     fn is_ejected(&self, key: EndpointKey, now: Duration) -> bool {
         self.sides.get(key.index()).is_some_and(|side| side.ejection.is_ejected(now))
     }
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod reply;
 pub mod settings;
 pub mod sync;
+pub mod waiting;
 pub mod web;
 
 pub use error::GatewayError;
--- a/crates/bw-gateway/src/main.rs
+++ b/crates/bw-gateway/src/main.rs
@@ -18,6 +18,7 @@
 use bw_gateway::reload::read_settings;
 use bw_gateway::reload::LiveSettings;
 use bw_gateway::sync::Sync;
+use bw_gateway::waiting::Waiting;
 use bw_gateway::web;
 use bw_gateway::GatewayError;
 use bw_gateway::Settings;
@@ -103,9 +104,11 @@
     let budget = Budget::new(settings.rate, settings.rate * STORE_BURST_SECONDS);
     let store = Store::new(&settings.platform, budget, &metrics)?;
     let live = LiveSettings::new(settings.clone());
+    let waiting = Waiting::new(endpoints.clone(), clock);
     let forwarder = Forwarder {
         config: config.clone(),
         endpoints: endpoints.clone(),
+        waiting: waiting.clone(),
         peers: peers.clone(),
         budget: Arc::default(),
         clock,
@@ -134,6 +137,7 @@
         peers: peers.clone(),
         config: config.clone(),
         endpoints: endpoints.clone(),
+        waiting,
         clock,
         seeds: seeds.collect(),
     };
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -26,11 +26,12 @@
 
 use crate::config::Config;
 use crate::endpoints::Endpoints;
+use crate::waiting::Waiting;
 
 /// Time between two rounds of news.
-const ROUND: Duration = Duration::from_millis(200);
+const ROUND: Duration = Duration::from_millis(100);
 /// Rounds between two that name all other gateways.
-const NAMING_ROUNDS: u64 = 20;
+const NAMING_ROUNDS: u64 = 40;
 /// Largest datagram that is read.
 const DATAGRAM_MAX: usize = 16_384;
 
@@ -143,6 +144,8 @@
     pub config: Config,
     /// The endpoints.
     pub endpoints: Endpoints,
+    /// Requests that wait for endpoints.
+    pub waiting: Waiting,
     /// Clock of the process.
     pub clock: BootClock,
     /// Addresses of gateways to begin with.
@@ -181,6 +184,7 @@
     /// Tells all peers the news; in some rounds with the addresses of all others.
     async fn tell(&self, socket: &UdpSocket, round: u64) {
         let now = self.clock.now();
+        self.follow_seat(now);
         let naming = round % NAMING_ROUNDS == 0;
         let works = self.endpoints.news();
         let proof = self.config.proof_age(now).map(|age| age.as_millis() as u32);
@@ -220,6 +224,16 @@
         }
     }
 
+    /// Tells the endpoints this gateway's place among those that are alive.
+    fn follow_seat(&self, now: Duration) {
+        let state = self.peers.lock();
+        let own = &self.peers.address.instance;
+        let place = state.peers.live(now).filter(|peer| peer.instance < *own).count();
+        let gateways = state.peers.live_count(now);
+        drop(state);
+        self.endpoints.set_seat(place, gateways);
+    }
+
     fn take(&self, bytes: &[u8]) {
         let news: News = match decode(bytes) {
             Ok(news) => news,
@@ -247,5 +261,6 @@
         }
         self.endpoints.hear(&news.state.instance, &news.works, now);
         self.config.hear(news.state.version);
+        self.waiting.serve();
     }
 }
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -280,18 +280,12 @@
             return calls;
         }
         match group.phase {
-            Phase::Reading if group.pending == 0 => {
-                if group.view.is_open() && now.saturating_sub(group.since) >= group.lag {
-                    group.since = now;
-                    for (rank, address) in group.view.addresses() {
-                        group.pending += 1;
-                        calls.push(Box::pin(read_report(
-                            client.clone(),
-                            group.view.name.clone(),
-                            rank,
-                            address,
-                        )));
-                    }
+            Phase::Reading if group.may_read(now) => {
+                group.since = now;
+                for (rank, address) in group.view.addresses() {
+                    group.pending += 1;
+                    let name = group.view.name.clone();
+                    calls.push(Box::pin(read_report(client.clone(), name, rank, address)));
                 }
             }
             Phase::Idle => self.plan(group, client, now, &mut calls),
@@ -468,6 +462,12 @@
         }
     }
 
+    /// Whether all ranks can be asked for reports that show what the last phase has done.
+    fn may_read(&self, now: Duration) -> bool {
+        let aged = now.saturating_sub(self.since) >= self.lag;
+        self.pending == 0 && aged && self.view.is_open()
+    }
+
     fn note_step(&mut self, step: u64, at: Duration) {
         let (known, then) = self.step;
         if step > known && known > 0 && at > then {
--- a/crates/bw-route/src/admission.rs
+++ b/crates/bw-route/src/admission.rs
@@ -10,8 +10,6 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bw_model::fleet::WorkspaceKey;
-
 /// Requests that wait in one pool.
 const QUEUE_MAX: usize = 4_096;
 /// Weight of the newest gap in the mean time between two admissions.
@@ -22,11 +20,11 @@
 
 /// A request that asks to be admitted.
 #[derive(Clone, Copy, Debug)]
-pub struct Offer {
+pub struct Offer<K> {
     /// Names the request.
     pub ticket: Ticket,
     /// Its workspace.
-    pub workspace: WorkspaceKey,
+    pub workspace: K,
     /// Service order of the workspace; a lower number goes first.
     pub order: u8,
     /// Weight of the workspace.
@@ -45,22 +43,28 @@
 }
 
 #[derive(Clone, Copy, Debug)]
-struct Waiting {
-    offer: Offer,
+struct Waiting<K> {
+    offer: Offer<K>,
     start: f64,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Lane {
-    waiting: VecDeque<Waiting>,
+#[derive(Clone, Debug)]
+struct Lane<K> {
+    waiting: VecDeque<Waiting<K>>,
     /// End tag of the last request.
     finish: f64,
 }
 
-/// The queues of one pool.
-#[derive(Clone, Debug, Default)]
-pub struct Admission {
-    lanes: BTreeMap<WorkspaceKey, Lane>,
+impl<K> Default for Lane<K> {
+    fn default() -> Self {
+        Self { waiting: VecDeque::new(), finish: 0.0 }
+    }
+}
+
+/// The queues of one pool, by the key of the workspace.
+#[derive(Clone, Debug)]
+pub struct Admission<K> {
+    lanes: BTreeMap<K, Lane<K>>,
     virtual_time: f64,
     waiting: usize,
     /// Mean time between two admissions while requests wait, in seconds.
@@ -68,7 +72,16 @@
     admitted: Option<Duration>,
 }
 
-impl Admission {
+impl<K> Default for Admission<K> {
+    fn default() -> Self {
+        Self { lanes: BTreeMap::new(), virtual_time: 0.0, waiting: 0, gap: 0.0, admitted: None }
+    }
+}
+
+impl<K> Admission<K>
+where
+    K: Copy + Ord,
+{
     /// Queues without requests.
     pub fn new() -> Self {
         Self::default()
@@ -85,8 +98,8 @@
     }
 
     /// Queues a request, or refuses it at once when it would start after its deadline.
-    pub fn offer(&mut self, offer: Offer, now: Duration) -> Offered {
-        let wait = self.expected_wait(&offer);
+    pub fn offer(&mut self, offer: Offer<K>, now: Duration) -> Offered {
+        let wait = self.expected_wait(&offer, now);
         if now + wait > offer.deadline {
             return Offered::Refused(wait);
         }
@@ -113,8 +126,14 @@
         Some(waiting.offer.ticket)
     }
 
+    /// The request that goes next.
+    pub fn peek(&self) -> Option<Ticket> {
+        let lane = self.lanes.get(&self.next_lane()?)?;
+        lane.waiting.front().map(|waiting| waiting.offer.ticket)
+    }
+
     /// Removes a request whose caller has left.
-    pub fn cancel(&mut self, workspace: WorkspaceKey, ticket: Ticket) -> bool {
+    pub fn cancel(&mut self, workspace: K, ticket: Ticket) -> bool {
         let Some(lane) = self.lanes.get_mut(&workspace) else {
             return false;
         };
@@ -140,7 +159,8 @@
         }
         self.waiting -= shed.len();
         while self.waiting > QUEUE_MAX {
-            let last = |lane: &Lane| lane.waiting.back().map_or(f64::MIN, |waiting| waiting.start);
+            let last =
+                |lane: &Lane<K>| lane.waiting.back().map_or(f64::MIN, |waiting| waiting.start);
             let furthest = self.lanes.values_mut().max_by(|a, b| last(a).total_cmp(&last(b)));
             let Some(waiting) = furthest.and_then(|lane| lane.waiting.pop_back()) else {
                 break;
@@ -152,23 +172,29 @@
     }
 
     /// Time until a new request of this workspace would be admitted.
-    pub fn expected_wait(&self, offer: &Offer) -> Duration {
+    ///
+    /// While requests wait and none is admitted, the standstill is expected to last as long again.
+    pub fn expected_wait(&self, offer: &Offer<K>, now: Duration) -> Duration {
         let lane = self.lanes.get(&offer.workspace);
         let start = lane.map_or(self.virtual_time, |lane| lane.finish.max(self.virtual_time));
-        let before = |lane: &Lane| lane.waiting.iter().filter(|w| w.start <= start).count();
+        let before = |lane: &Lane<K>| lane.waiting.iter().filter(|w| w.start <= start).count();
         let ahead: usize = self.lanes.values().map(before).sum();
-        Duration::from_secs_f64(self.gap * ahead as f64)
+        let standstill = match self.admitted {
+            Some(admitted) if self.waiting > 0 => now.saturating_sub(admitted),
+            _ => Duration::ZERO,
+        };
+        Duration::from_secs_f64(self.gap * ahead as f64).max(standstill)
     }
 
-    fn next_lane(&self) -> Option<WorkspaceKey> {
+    fn next_lane(&self) -> Option<K> {
         let heads =
             self.lanes.iter().filter_map(|(key, lane)| Some((*key, *lane.waiting.front()?)));
-        let rank = |waiting: &Waiting| {
+        let rank = |waiting: &Waiting<K>| {
             let within = waiting.start <= self.virtual_time;
             let order = if within { waiting.offer.order } else { u8::MAX };
             (!within, order, waiting.start)
         };
-        let less = |a: &(WorkspaceKey, Waiting), b: &(WorkspaceKey, Waiting)| {
+        let less = |a: &(K, Waiting<K>), b: &(K, Waiting<K>)| {
             let ((a_out, a_order, a_start), (b_out, b_order, b_start)) = (rank(&a.1), rank(&b.1));
             (a_out, a_order).cmp(&(b_out, b_order)).then(a_start.total_cmp(&b_start))
         };
--- a/crates/bw-route/tests/admission.rs
+++ b/crates/bw-route/tests/admission.rs
@@ -15,7 +15,7 @@
 use bw_route::RetryBudget;
 use proptest::prelude::*;
 
-fn offer(ticket: u64, workspace: u32, order: u8, share: u32) -> Offer {
+fn offer(ticket: u64, workspace: u32, order: u8, share: u32) -> Offer<WorkspaceKey> {
     let deadline = Duration::from_secs(100);
     Offer { ticket, workspace: WorkspaceKey::from_index(workspace), order, share, deadline }
 }
