Let one gateway of each data centre watch the store and the others follow it

Ruled out: following with long watches only. Ageing proofs alone did not tell which gateway sees the store, since proofs spread by news. Change: relay::pick_source (pure) by the time since the store answered each gateway; a mirror that peers follow by the store's own calls; news carry the version, the revision of the last change of the endpoints' list, and the receiver's stamp, from which a proof's age follows without trusting transit times or the time of day; a gateway that hears of a newer version or list takes it from the peer that has it. Lapsed entries are told to followers only when they have not come back.

--- a/crates/bw-direct/src/endpoint.rs
+++ b/crates/bw-direct/src/endpoint.rs
@@ -150,6 +150,14 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Endpoints whose entries have lapsed, and until when they may come back.
+    pub fn lapsed(&self) -> impl Iterator<Item = (&str, Duration)> {
+        self.slots.iter().filter_map(|(_, slot)| match slot.standing {
+            Standing::Lapsed(until) => Some((slot.endpoint.name.as_str(), until)),
+            Standing::Listed | Standing::Gone => None,
+        })
+    }
+
     /// All endpoints.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Slot)> {
         self.slots.iter()
@@ -260,6 +268,10 @@
                 slot.standing = Standing::Gone;
                 Noted::Removed
             }
+            Standing::Lapsed(until) if until <= now => {
+                slot.standing = Standing::Gone;
+                Noted::Removed
+            }
             Standing::Lapsed(_) | Standing::Gone => Noted::Same,
         }
     }
--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod patience;
 pub mod peers;
 pub mod place;
+pub mod relay;
 pub mod request;
 
 pub use catalog::Catalog;
--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 
 use crate::load::Work;
+use crate::relay::Near;
 
 /// Silence after which callers are no longer sent to a peer.
 pub const LIVE_FOR: Duration = Duration::from_millis(1_200);
@@ -47,6 +48,23 @@
     }
 }
 
+/// Bytes that follow the news in a datagram: the receiver's last stamp.
+const ECHO_BYTES: usize = 8;
+
+/// A datagram: the same news for all peers, and the last stamp that came from this one.
+pub fn add_echo(news: &[u8], echo: u64) -> Vec<u8> {
+    let mut datagram = Vec::with_capacity(news.len() + ECHO_BYTES);
+    datagram.extend_from_slice(news);
+    datagram.extend_from_slice(&echo.to_le_bytes());
+    datagram
+}
+
+/// The news of a datagram and the stamp that it returns; `None` when it is too short for one.
+pub fn split_echo(datagram: &[u8]) -> Option<(&[u8], u64)> {
+    let (news, echo) = datagram.split_last_chunk::<ECHO_BYTES>()?;
+    Some((news, u64::from_le_bytes(*echo)))
+}
+
 /// What one entry tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct News {
@@ -54,10 +72,16 @@
     pub state: PeerState,
     /// Where the sender can be reached.
     pub address: PeerAddress,
+    /// The sender's clock in milliseconds, to be returned by the receiver.
+    pub stamp: u64,
     /// Whether callers should be sent to it.
     pub ready: bool,
     /// Age in milliseconds of the sender's proof that its configuration is the newest.
     pub proof: Option<u32>,
+    /// Time in milliseconds since the store itself has answered the sender.
+    pub store: Option<u32>,
+    /// Revision of the last change of the endpoints' list that the sender knows.
+    pub listing: u64,
     /// Fencing number of the planning duty, while the sender holds it.
     pub duty: Option<Fence>,
     /// Work of the sender at endpoints.
@@ -72,15 +96,22 @@
     address: PeerAddress,
     state: Option<PeerState>,
     ready: bool,
+    /// Time since the store had answered it when it was heard.
+    store: Option<Duration>,
     heard: Option<Duration>,
     /// When it was first named.
     named: Duration,
 }
 
 impl Peer {
-    fn is_live(&self, now: Duration) -> bool {
+    /// Whether it was heard lately and stays.
+    fn is_present(&self, now: Duration) -> bool {
         let leaving = self.state.as_ref().is_some_and(|state| state.leaving);
-        !leaving && self.ready && self.heard.is_some_and(|at| now.saturating_sub(at) <= LIVE_FOR)
+        !leaving && self.heard.is_some_and(|at| now.saturating_sub(at) <= LIVE_FOR)
+    }
+
+    fn is_live(&self, now: Duration) -> bool {
+        self.ready && self.is_present(now)
     }
 
     fn is_worth_telling(&self, now: Duration) -> bool {
@@ -117,7 +148,8 @@
         if address.instance == self.own {
             return;
         }
-        let peer = Peer { address, state: None, ready: false, heard: None, named: now };
+        let peer =
+            Peer { address, state: None, ready: false, store: None, heard: None, named: now };
         self.peers.entry(peer.address.instance.clone()).or_insert(peer);
     }
 
@@ -136,6 +168,7 @@
             address: news.address.clone(),
             state: Some(news.state.clone()),
             ready: news.ready,
+            store: news.store.map(|age| Duration::from_millis(u64::from(age))),
             heard: Some(now),
             named: now,
         };
@@ -167,6 +200,23 @@
         self.peers.values().filter(move |peer| peer.is_live(now)).map(|peer| &peer.address)
     }
 
+    /// Peers of a data centre that are present.
+    pub fn near(&self, centre: &str, now: Duration) -> Vec<Near<SocketAddr>> {
+        let present = self
+            .peers
+            .values()
+            .filter(|peer| peer.address.centre == centre && peer.is_present(now));
+        let near = present.map(|peer| {
+            let silence = now.saturating_sub(peer.heard.unwrap_or_default());
+            Near {
+                instance: peer.address.instance.clone(),
+                store: peer.store.map(|age| age + silence),
+                address: peer.address.news,
+            }
+        });
+        near.collect()
+    }
+
     /// Number of entries believed to be alive, this one included.
     pub fn live_count(&self, now: Duration) -> usize {
         1 + self.live(now).count()
--- a/crates/bw-gateway/src/config.rs
+++ b/crates/bw-gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration in force and the proof that it is the newest.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -13,23 +14,23 @@
 
 struct State {
     catalog: Option<Arc<Catalog>>,
-    /// When the catalog was last proved to be the newest.
+    /// Time up to which every accepted change is known to be in force here.
     proof: Option<Duration>,
-    /// A higher version that a peer has.
-    rumour: Version,
+    /// A higher version that a peer has, and the peer.
+    ahead: Option<(Version, SocketAddr)>,
 }
 
 /// The configuration as the gateway's services share it.
 #[derive(Clone)]
 pub struct Config {
     state: Arc<Mutex<State>>,
-    wanted: Arc<Notify>,
+    behind: Arc<Notify>,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        let state = State { catalog: None, proof: None, rumour: Version(0) };
-        Self { state: Arc::new(Mutex::new(state)), wanted: Arc::default() }
+        let state = State { catalog: None, proof: None, ahead: None };
+        Self { state: Arc::new(Mutex::new(state)), behind: Arc::default() }
     }
 }
 
@@ -44,14 +45,15 @@
         self.lock().catalog.as_ref().map_or(Version(0), |catalog| catalog.version)
     }
 
-    /// Takes a catalog, unless a newer one is in force, and its proof.
-    pub fn take(&self, catalog: Catalog, proof: Duration) {
+    /// Takes a catalog, unless a newer one is in force, and its proof if it has one.
+    pub fn take(&self, catalog: Catalog, proof: Option<Duration>) {
         let mut state = self.lock();
         let known = state.catalog.as_ref().map(|known| known.version);
         if known.is_some_and(|known| known > catalog.version) {
             return;
         }
-        state.proof = state.proof.max(Some(proof));
+        // What was in force at an earlier proof is part of every later version.
+        state.proof = state.proof.max(proof);
         if known == Some(catalog.version) {
             return;
         }
@@ -68,8 +70,8 @@
     /// Notes that `version` was the newest at `time`.
     pub fn prove(&self, version: Version, time: Duration) {
         let mut state = self.lock();
-        let current = state.catalog.as_ref().is_some_and(|catalog| catalog.version == version);
-        if current {
+        let covers = state.catalog.as_ref().is_some_and(|catalog| catalog.version >= version);
+        if covers {
             state.proof = state.proof.max(Some(time));
         }
     }
@@ -80,18 +82,27 @@
     }
 
     /// Notes that a peer has a version, and asks for it when it is newer.
-    pub fn hear(&self, version: Version) {
+    pub fn hear(&self, version: Version, peer: SocketAddr) {
         let mut state = self.lock();
         let known = state.catalog.as_ref().map_or(Version(0), |catalog| catalog.version);
-        if version > known && version > state.rumour {
-            state.rumour = version;
-            self.wanted.notify_one();
+        if version > known && state.ahead.is_none() {
+            state.ahead = Some((version, peer));
+            self.behind.notify_one();
         }
     }
 
-    /// Waits until a newer version is known to exist.
-    pub async fn wanted(&self) {
-        self.wanted.notified().await;
+    /// Waits until a peer is known to have a newer version, and returns that peer.
+    pub async fn behind(&self) -> SocketAddr {
+        loop {
+            self.behind.notified().await;
+            let mut state = self.lock();
+            let known = state.catalog.as_ref().map_or(Version(0), |catalog| catalog.version);
+            if let Some((version, peer)) = state.ahead.take() {
+                if version > known {
+                    return peer;
+                }
+            }
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -143,12 +143,23 @@
     }
 
     /// Takes the removal of an entry, or an entry that cannot be read.
-    pub fn remove(&self, name: &str, now: Duration) {
+    pub fn remove(&self, name: &str, now: Duration) -> Noted {
         let mut state = self.lock();
         let noted = state.table.remove(name, now);
         if let Some(key) = state.table.find(name) {
             state.follow(key, noted, now);
         }
+        noted
+    }
+
+    /// Names of endpoints whose entries have lapsed and may come back.
+    pub fn lapsed(&self) -> Vec<String> {
+        self.lock().table.lapsed().map(|(name, _)| name.to_string()).collect()
+    }
+
+    /// Whether an entry that lapsed has not come back in time.
+    pub fn has_overdue_lapse(&self, now: Duration) -> bool {
+        self.lock().table.lapsed().any(|(_, until)| until <= now)
     }
 
     /// Notes that the store does not answer.
--- a/crates/bw-gateway/src/main.rs
+++ b/crates/bw-gateway/src/main.rs
@@ -14,6 +14,7 @@
 use bw_gateway::peers::Gossip;
 use bw_gateway::peers::PeerNews;
 use bw_gateway::planner::PlanService;
+use bw_gateway::relay::Relay;
 use bw_gateway::reload::follow_file;
 use bw_gateway::reload::read_settings;
 use bw_gateway::reload::LiveSettings;
@@ -121,12 +122,15 @@
         clock,
         settings: live.clone(),
     };
+    let relay = Relay::new();
     let sync = Sync {
         store,
+        relay: relay.clone(),
         config: config.clone(),
         endpoints: endpoints.clone(),
         peers: peers.clone(),
         clock,
+        settings: live.clone(),
     };
 
     let (path, signals) = (path.to_path_buf(), kernel.reloads());
@@ -154,6 +158,8 @@
     let following = sync.clone();
     kernel.start("endpoints", |stop| following.follow_endpoints(stop));
     kernel.start("join", |stop| sync.join(address, stop));
+    let listener = bw_http::bind(settings.news).await?;
+    kernel.start("relay", |stop| bw_http::serve(listener, relay.routes(), stop));
     kernel.start("news", |stop| gossip.run(socket, stop));
     kernel.start("planner", |stop| planner.run(stop));
     let listener = bw_http::bind(settings.ready).await?;
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -1,5 +1,6 @@
 //! News between gateways, as datagrams.
 
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,10 +9,13 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_direct::peers::add_echo;
+use bw_direct::peers::split_echo;
 use bw_direct::peers::Heard;
 use bw_direct::peers::News;
 use bw_direct::peers::PeerAddress;
 use bw_direct::peers::Peers;
+use bw_direct::relay::Near;
 use bw_duty::StandIn;
 use bw_kernel::BootClock;
 use bw_kernel::Stop;
@@ -23,15 +27,22 @@
 use log::warn;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::config::Config;
 use crate::endpoints::Endpoints;
 use crate::waiting::Waiting;
 
-/// Time between two rounds of news.
-const ROUND: Duration = Duration::from_millis(100);
+/// Shortest and longest time between two rounds of news.
+const ROUND: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(1_000));
+/// What each gateway adds to the time between two rounds, so that what one sends stays bounded.
+const ROUND_STEP: Duration = Duration::from_millis(5);
 /// Rounds between two that name all other gateways.
 const NAMING_ROUNDS: u64 = 40;
+/// Stands for the stamp of a peer that has sent none yet; no life begins its stamps there.
+const NO_STAMP: u64 = 0;
+/// Bits of a stamp for the milliseconds of one life, some fifty days.
+const STAMP_BITS: u32 = 32;
 /// Largest datagram that is read.
 const DATAGRAM_MAX: usize = 16_384;
 
@@ -40,6 +51,14 @@
     own: PeerState,
     ready: bool,
     duty: StandIn,
+    /// Each peer's last stamp by its address, to be returned to it.
+    stamps: HashMap<SocketAddr, u64>,
+    /// When the store last answered this gateway.
+    store: Option<Duration>,
+    /// Revision of the last change of the endpoints' list, and up to which changes are known.
+    listing: (u64, u64),
+    /// A peer that knows a later change of the list.
+    ahead: Option<SocketAddr>,
 }
 
 /// The other gateways as the services share them.
@@ -47,16 +66,36 @@
 pub struct PeerNews {
     state: Arc<Mutex<State>>,
     address: PeerAddress,
+    /// Where this life's stamps begin; a stamp of an earlier life lies outside of them.
+    stamp_base: u64,
     /// Asks for a round at once.
     urgent: Arc<Notify>,
+    /// Tells that a peer knows a later change of the list.
+    behind: Arc<Notify>,
 }
 
 impl PeerNews {
     /// No peers yet of the gateway with this address and first state.
     pub fn new(address: PeerAddress, own: PeerState, now: Duration) -> Self {
         let peers = Peers::new(address.instance.clone());
-        let state = State { peers, own, ready: false, duty: StandIn::new(now) };
-        Self { state: Arc::new(Mutex::new(state)), address, urgent: Arc::default() }
+        let state = State {
+            peers,
+            own,
+            ready: false,
+            duty: StandIn::new(now),
+            stamps: HashMap::new(),
+            store: None,
+            listing: (0, 0),
+            ahead: None,
+        };
+        let stamp_base = u64::from(rand::random_range(1..u32::MAX)) << STAMP_BITS;
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            address,
+            stamp_base,
+            urgent: Arc::default(),
+            behind: Arc::default(),
+        }
     }
 
     /// Notes that a gateway exists.
@@ -126,6 +165,59 @@
         self.lock().duty.held()
     }
 
+    /// Notes that the store itself has answered at `now`.
+    pub fn note_store(&self, now: Duration) {
+        self.lock().store = Some(now);
+    }
+
+    /// Time since the store has answered this gateway.
+    pub fn store_age(&self, now: Duration) -> Option<Duration> {
+        self.lock().store.map(|at| now.saturating_sub(at))
+    }
+
+    /// Notes that the list of endpoints is known up to a revision, and whether it changed there.
+    pub fn note_listing(&self, revision: u64, changed: bool) {
+        let mut state = self.lock();
+        if changed {
+            state.listing.0 = state.listing.0.max(revision);
+        }
+        state.listing.1 = state.listing.1.max(revision);
+        if state.ahead.is_some() {
+            state.ahead = None;
+        }
+    }
+
+    /// Notes that a peer knows a change of the list, and asks for it when it is not known here.
+    fn hear_listing(&self, revision: u64, peer: SocketAddr) {
+        let mut state = self.lock();
+        if revision > state.listing.1 && state.ahead.is_none() {
+            state.ahead = Some(peer);
+            drop(state);
+            self.behind.notify_one();
+        }
+    }
+
+    /// Waits until a peer is known to know a later change of the list, and returns that peer.
+    pub async fn listing_behind(&self) -> SocketAddr {
+        loop {
+            self.behind.notified().await;
+            let ahead = self.lock().ahead.take();
+            if let Some(peer) = ahead {
+                return peer;
+            }
+        }
+    }
+
+    /// Instance of this gateway.
+    pub fn instance(&self) -> &str {
+        &self.address.instance
+    }
+
+    /// Gateways of the own data centre that are present.
+    pub fn near(&self, now: Duration) -> Vec<Near<SocketAddr>> {
+        self.lock().peers.near(&self.address.centre, now)
+    }
+
     /// Gateways believed to be alive, this one included.
     pub fn live_count(&self, now: Duration) -> usize {
         self.lock().peers.live_count(now)
@@ -159,14 +251,15 @@
     /// None.
     pub async fn run(self, socket: UdpSocket, mut stop: Stop) -> Result<(), Infallible> {
         let mut buffer = vec![0; DATAGRAM_MAX];
-        let mut round = tokio::time::interval(ROUND);
-        round.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
         let mut rounds = 0;
+        let mut next = Instant::now();
         loop {
             tokio::select! {
-                _ = round.tick() => {
+                () = tokio::time::sleep_until(next) => {
                     self.tell(&socket, rounds).await;
                     rounds += 1;
+                    let gateways = self.peers.live_count(self.clock.now()) as u32;
+                    next = Instant::now() + (ROUND_STEP * gateways).clamp(ROUND.0, ROUND.1);
                 }
                 () = self.peers.urgent.notified() => self.tell(&socket, rounds).await,
                 received = socket.recv_from(&mut buffer) => match received {
@@ -196,8 +289,11 @@
             let news = News {
                 state: state.own.clone(),
                 address: self.peers.address.clone(),
+                stamp: self.peers.stamp_base + now.as_millis() as u64,
                 ready: state.ready,
                 proof,
+                store: state.store.map(|at| now.saturating_sub(at).as_millis() as u32),
+                listing: state.listing.0,
                 duty: state.duty.held(),
                 works,
                 others,
@@ -218,9 +314,27 @@
                 return;
             }
         };
+        let stamps = self.peers.lock().stamps.clone();
         for target in targets {
+            let echo = stamps.get(&target).copied().unwrap_or(NO_STAMP);
             // A datagram that the kernel cannot take now is as good as lost on the way.
-            let _ = socket.try_send_to(&bytes, target);
+            let _ = socket.try_send_to(&add_echo(&bytes, echo), target);
+        }
+    }
+
+    /// Takes a peer's proof that its configuration is the newest.
+    ///
+    /// The peer sent its news after it had this gateway's stamp, so that its proof is no older than
+    /// the stamp's time less the age that it tells, however long the datagram was on its way.
+    fn take_proof(&self, news: &News, echo: u64) {
+        let Some(age) = news.proof else { return };
+        let Some(echo) = echo.checked_sub(self.peers.stamp_base) else { return };
+        let stamped = Duration::from_millis(echo);
+        if stamped > self.clock.now() {
+            return;
+        }
+        if let Some(time) = stamped.checked_sub(Duration::from_millis(u64::from(age))) {
+            self.config.prove(news.state.version, time);
         }
     }
 
@@ -235,6 +349,10 @@
     }
 
     fn take(&self, bytes: &[u8]) {
+        let Some((bytes, echo)) = split_echo(bytes) else {
+            warn!("event=news_unreadable reason=too_short");
+            return;
+        };
         let news: News = match decode(bytes) {
             Ok(news) => news,
             Err(error) => {
@@ -256,11 +374,14 @@
             }
             Heard::Known => {}
         }
+        self.peers.lock().stamps.insert(news.address.news, news.stamp);
+        self.take_proof(&news, echo);
         if let Some(fence) = news.duty {
             self.peers.lock().duty.hear(fence, now);
         }
         self.endpoints.hear(&news.state.instance, &news.works, now);
-        self.config.hear(news.state.version);
+        self.config.hear(news.state.version, news.address.news);
+        self.peers.hear_listing(news.listing, news.address.news);
         self.waiting.serve();
     }
 }
--- a/crates/bw-gateway/src/settings.rs
+++ b/crates/bw-gateway/src/settings.rs
@@ -41,6 +41,8 @@
     pub grace: Duration,
     /// Time after which a leaving endpoint gets no new work.
     pub drain: Duration,
+    /// Time in which an accepted configuration has to be in force.
+    pub apply: Duration,
     /// Time after which a key that was taken away opens nothing.
     pub revoke: Duration,
     /// Time without trouble after which an instance counts as undisturbed.
@@ -91,6 +93,7 @@
         let descriptors = section.ranged("descriptors", (256, 1_048_576), 4_096, &mut faults);
         let grace = section.ranged("grace-s", (0.0, 3_600.0), 8.0, &mut faults);
         let drain = section.millis("drain-ms", (0, MINUTE), 2_000, &mut faults);
+        let apply = section.millis("config-apply-ms", (100, MINUTE), 2_000, &mut faults);
         let revoke = section.millis("revoke-ms", (100, MINUTE), 5_000, &mut faults);
         let contact = section.millis("contact-ms", (100, MINUTE), 3_000, &mut faults);
         let ratio = section.ranged("retry-ratio", (0.0, 1.0), 0.2, &mut faults);
@@ -127,6 +130,7 @@
             descriptors,
             grace: Duration::from_secs_f64(grace),
             drain,
+            apply,
             revoke,
             contact,
             ratio,
--- /dev/null
+++ b/crates/bw-gateway/src/sync/join.rs
@@ -0,0 +1,61 @@
+//! Lists this gateway in the store and learns of the others.
+
+use std::convert::Infallible;
+
+use bw_adapter::Object;
+use bw_direct::peers::PeerAddress;
+use bw_kernel::Stop;
+use bw_platform::Purpose;
+use bw_platform::StoreError;
+use log::info;
+use log::warn;
+
+use super::pause;
+use super::Sync;
+
+/// Kind of the objects by which gateways find each other.
+const GATEWAYS: &str = "gateways";
+/// Pause after a failed try.
+const RETRY: std::time::Duration = std::time::Duration::from_millis(500);
+
+impl Sync {
+    /// Lists this gateway in the store and learns of the others; then waits for `stop`.
+    ///
+    /// # Errors
+    /// None.
+    pub async fn join(self, own: PeerAddress, mut stop: Stop) -> Result<(), Infallible> {
+        let joined = async {
+            while let Err(error) = self.try_join(&own).await {
+                warn!("event=join_failed reason=\"{error}\"");
+                pause(RETRY).await;
+            }
+            info!("event=joined instance={}", own.instance);
+        };
+        tokio::select! {
+            () = joined => stop.wait().await,
+            () = stop.wait() => {}
+        }
+        Ok(())
+    }
+
+    async fn try_join(&self, own: &PeerAddress) -> Result<(), StoreError> {
+        let object = Object::new(GATEWAYS, &own.instance, 0, own)?;
+        match self.store.create(Purpose::Write, &object).await {
+            Err(StoreError::Conflict) => {
+                self.store.replace(Purpose::Write, &object).await?;
+            }
+            created => {
+                created?;
+            }
+        }
+        let (list, _) = self.store.list_all(GATEWAYS).await?;
+        let now = self.clock.now();
+        for object in list {
+            match object.content::<PeerAddress>() {
+                Ok(address) => self.peers.name(address, now),
+                Err(error) => warn!("event=gateway_unreadable reason=\"{error}\""),
+            }
+        }
+        Ok(())
+    }
+}
