Measure each rank's pace, place fewer experts and requests on slow ranks

Change: the planner reads all ranks' reports, weighs a rank's load by its pace, and tells the paces with its news; placing weighs them, too. A new planner no longer takes the counts of a rank's whole life for the present demand.

--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// A slow endpoint, by a hash of its name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceNews {
+    /// Hash of the endpoint's name.
+    pub endpoint: u64,
+    /// Time that its work takes, in percent of what it should.
+    pub percent: u32,
+}
+
 /// Bytes that follow the news in a datagram: the receiver's last stamp.
 const ECHO_BYTES: usize = 8;
 
@@ -84,6 +93,8 @@
     pub listing: u64,
     /// Fencing number of the planning duty, while the sender holds it.
     pub duty: Option<Fence>,
+    /// Slow endpoints as the planning duty sees them.
+    pub paces: Vec<PaceNews>,
     /// Work of the sender at endpoints.
     pub works: Vec<WorkNews>,
     /// Other entries that the sender knows; only in some of the news.
--- a/crates/bw-expert/src/policy/replicas.rs
+++ b/crates/bw-expert/src/policy/replicas.rs
@@ -1,12 +1,12 @@
 //! Places experts where the holders of an expert share its tokens evenly.
 //!
 //! A set of layers is placed by itself. The search starts from the present placement and takes, one
-//! after the other, the change that relieves the busiest rank the most, within the places of a rank
-//! and the experts that it can receive in one switch.
+//! after the other, the change that relieves the slowest rank the most, within the places of a rank
+//! and the experts that it can receive in one switch. A rank that is slow by itself counts as busy.
 
 use smallvec::SmallVec;
 
-use super::skew::smooth_skew;
+use super::skew::smooth_peak;
 
 /// Experts of the busiest rank that are tried in each round.
 const EXPERTS_TRIED: usize = 4;
@@ -57,23 +57,25 @@
         holders
     }
 
-    /// Load of each rank.
-    pub fn loads(&self, demand: &[f64]) -> Vec<f64> {
+    /// Time that each rank takes, for ranks of these paces: 1 for a sound one, more for a slow one.
+    pub fn times(&self, demand: &[f64], paces: &[f64]) -> Vec<f64> {
         let holders = self.holders(demand.len());
         let load = |expert: &u16| {
             demand[usize::from(*expert)] / f64::from(holders[usize::from(*expert)].max(1))
         };
-        self.ranks.iter().map(|experts| experts.iter().map(load).sum()).collect()
+        let time =
+            |(experts, pace): (&RankExperts, &f64)| pace * experts.iter().map(load).sum::<f64>();
+        self.ranks.iter().zip(paces).map(time).collect()
     }
 
-    /// Load of the busiest rank over the mean.
-    pub fn skew(&self, demand: &[f64]) -> f64 {
-        let loads = self.loads(demand);
-        let total: f64 = loads.iter().sum();
+    /// Time of the slowest rank over the mean that sound ranks would take.
+    pub fn skew(&self, demand: &[f64], paces: &[f64]) -> f64 {
+        let total: f64 = demand.iter().sum();
         if total <= 0.0 {
             return 1.0;
         }
-        loads.iter().copied().fold(0.0, f64::max) * loads.len() as f64 / total
+        let times = self.times(demand, paces);
+        times.iter().copied().fold(0.0, f64::max) * times.len() as f64 / total
     }
 
     /// Experts that ranks have to receive to come from `before` to this placement.
@@ -107,15 +109,21 @@
     Swap { from: usize, expert: u16, to: usize, other: u16 },
 }
 
-/// Searches for a placement with less load on the busiest rank.
-pub fn improve(before: &Placement, demand: &[f64], room: Room) -> Placement {
+/// Searches for a placement whose slowest rank takes less time.
+pub fn improve(before: &Placement, demand: &[f64], paces: &[f64], room: Room) -> Placement {
+    let total: f64 = demand.iter().sum();
+    if total <= 0.0 || paces.len() != before.ranks.len() {
+        return before.clone();
+    }
     let mut search = Search {
         before,
         demand,
+        paces,
         room,
+        mean: total / before.ranks.len() as f64,
         placement: before.clone(),
         holders: before.holders(demand.len()),
-        loads: before.loads(demand),
+        times: before.times(demand, paces),
     };
     for _ in 0..ROUNDS_MAX {
         if !search.step() {
@@ -128,22 +136,25 @@
 struct Search<'a> {
     before: &'a Placement,
     demand: &'a [f64],
+    paces: &'a [f64],
     room: Room,
+    /// Mean time of a rank if all were sound and evenly loaded.
+    mean: f64,
     placement: Placement,
     holders: Vec<u16>,
-    loads: Vec<f64>,
+    times: Vec<f64>,
 }
 
 impl Search<'_> {
     /// Makes the best change; false when none helps.
     fn step(&mut self) -> bool {
-        let mut order: Vec<usize> = (0..self.loads.len()).collect();
-        order.sort_by(|a, b| self.loads[*a].total_cmp(&self.loads[*b]));
+        let mut order: Vec<usize> = (0..self.times.len()).collect();
+        order.sort_by(|a, b| self.times[*a].total_cmp(&self.times[*b]));
         let Some(busiest) = order.last().copied() else { return false };
-        let now = smooth_skew(&self.loads);
+        let now = smooth_peak(&self.times, self.mean);
         let mut best: Option<(f64, Change)> = None;
         for change in self.changes(busiest, &order) {
-            let saved = now - smooth_skew(&self.loads_after(change));
+            let saved = now - smooth_peak(&self.times_after(change), self.mean);
             let gain = saved - self.room.price * self.copies(change) as f64;
             if best.as_ref().is_none_or(|(most, _)| gain > *most) {
                 best = Some((gain, change));
@@ -151,7 +162,7 @@
         }
         match best {
             Some((gain, change)) if gain > GAIN_MIN => {
-                self.loads = self.loads_after(change);
+                self.times = self.times_after(change);
                 self.apply(change);
                 true
             }
@@ -215,7 +226,7 @@
         }
     }
 
-    /// Load that an expert brings to each of its holders.
+    /// Load that an expert brings to each of its holders, for a sound rank.
     fn part(&self, expert: u16) -> f64 {
         self.demand[usize::from(expert)] / f64::from(self.holders[usize::from(expert)].max(1))
     }
@@ -228,28 +239,29 @@
         received + usize::from(!before.contains(&expert)) <= self.room.spare
     }
 
-    fn loads_after(&self, change: Change) -> Vec<f64> {
-        let mut loads = self.loads.clone();
+    fn times_after(&self, change: Change) -> Vec<f64> {
+        let mut times = self.times.clone();
         match change {
             Change::Take { rank, expert, instead } => {
-                self.shift(&mut loads, expert, 1, Some(rank), None);
+                self.shift(&mut times, expert, 1, Some(rank), None);
                 if let Some(other) = instead {
-                    self.shift(&mut loads, other, -1, None, Some(rank));
+                    self.shift(&mut times, other, -1, None, Some(rank));
                 }
             }
-            Change::Drop { rank, expert } => self.shift(&mut loads, expert, -1, None, Some(rank)),
+            Change::Drop { rank, expert } => self.shift(&mut times, expert, -1, None, Some(rank)),
             Change::Swap { from, expert, to, other } => {
-                loads[from] += self.part(other) - self.part(expert);
-                loads[to] += self.part(expert) - self.part(other);
+                let moved = self.part(expert) - self.part(other);
+                times[from] -= self.paces[from] * moved;
+                times[to] += self.paces[to] * moved;
             }
         }
-        loads
+        times
     }
 
-    /// Adjusts loads for one holder of `expert` more or fewer.
+    /// Adjusts times for one holder of `expert` more or fewer.
     fn shift(
         &self,
-        loads: &mut [f64],
+        times: &mut [f64],
         expert: u16,
         step: i32,
         joins: Option<usize>,
@@ -260,14 +272,14 @@
         let after = self.demand[usize::from(expert)] / f64::from(count.max(1));
         for (rank, experts) in self.placement.ranks.iter().enumerate() {
             if experts.contains(&expert) {
-                loads[rank] += after - before;
+                times[rank] += self.paces[rank] * (after - before);
             }
         }
         if let Some(rank) = joins {
-            loads[rank] += after;
+            times[rank] += self.paces[rank] * after;
         }
         if let Some(rank) = leaves {
-            loads[rank] -= after;
+            times[rank] -= self.paces[rank] * after;
         }
     }
 
--- a/crates/bw-expert/src/policy/sample.rs
+++ b/crates/bw-expert/src/policy/sample.rs
@@ -43,14 +43,9 @@
             self.epoch = epoch;
             self.last.clear();
         }
-        let before = self.last.insert(rank, counts.to_vec());
-        // The first counts of a rank span all its time; they serve only where there is nothing else.
-        let first = before.is_none();
-        if first && self.demand.is_some() {
-            return;
-        }
-        for (index, count) in counts.iter().enumerate() {
-            let then = before.as_ref().map_or(0, |before| before[index]);
+        // The first counts of a rank span all its time, in which demand may have been another.
+        let Some(before) = self.last.insert(rank, counts.to_vec()) else { return };
+        for (index, (count, then)) in counts.iter().zip(before).enumerate() {
             self.gathered[index] += count.saturating_sub(then);
         }
     }
--- a/crates/bw-expert/src/policy/skew.rs
+++ b/crates/bw-expert/src/policy/skew.rs
@@ -19,14 +19,17 @@
 
 /// A smooth form of skew, which also falls when one of several equally busy ranks is relieved.
 pub fn smooth_skew(loads: &[f64]) -> f64 {
-    let count = loads.len() as f64;
     let total: f64 = loads.iter().sum();
     if total <= 0.0 {
         return 1.0;
     }
-    let mean = total / count;
-    let sum: f64 = loads.iter().map(|load| (load / mean).powi(SMOOTH)).sum();
-    (sum / count).powf(1.0 / f64::from(SMOOTH))
+    smooth_peak(loads, total / loads.len() as f64)
+}
+
+/// A smooth form of the longest time over a given mean.
+pub fn smooth_peak(times: &[f64], mean: f64) -> f64 {
+    let sum: f64 = times.iter().map(|time| (time / mean).powi(SMOOTH)).sum();
+    (sum / times.len().max(1) as f64).powf(1.0 / f64::from(SMOOTH))
 }
 
 /// Mean skew over the layers, which is the factor by which the expert part of a step is longer
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -12,9 +12,12 @@
 use bw_direct::endpoint::Endpoint;
 use bw_direct::endpoint::EndpointKey;
 use bw_direct::endpoint::Noted;
+use bw_direct::endpoint::Slot;
+use bw_direct::endpoint::Standing;
 use bw_direct::endpoint::Table;
 use bw_direct::load::Loads;
 use bw_direct::load::Work;
+use bw_direct::peers::PaceNews;
 use bw_direct::peers::WorkNews;
 use bw_direct::place::deal_homes;
 use bw_direct::place::place;
@@ -35,6 +38,9 @@
 /// Margin before an idle connection's end, within which it is not used any more.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 
+/// Age at which news of slow endpoints no longer counts.
+const PACE_AGE_MAX: Duration = Duration::from_millis(2_500);
+
 /// An idle connection.
 struct Idle {
     channel: Channel,
@@ -57,6 +63,10 @@
     random: SmallRng,
     /// Place of this gateway among those that are alive, and their number.
     seat: (usize, usize),
+    /// Slow endpoints as this gateway's planner sees them.
+    own_paces: Vec<(EndpointKey, f64)>,
+    /// Slow endpoints as the planning gateway tells, and when it last did.
+    told_paces: (Duration, Vec<(EndpointKey, f64)>),
 }
 
 /// A group as the list names it.
@@ -123,6 +133,8 @@
             hashes: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
             seat: (0, 1),
+            own_paces: Vec::new(),
+            told_paces: (Duration::ZERO, Vec::new()),
         };
         Self { state: Arc::new(Mutex::new(state)), centre }
     }
@@ -187,6 +199,43 @@
         self.lock().seat = (place, gateways);
     }
 
+    /// Sets the slow endpoints as this gateway's planner sees them.
+    pub fn set_paces(&self, slow: Vec<(SocketAddr, f64)>) {
+        let mut state = self.lock();
+        if slow.is_empty() && state.own_paces.is_empty() {
+            return;
+        }
+        let table = &state.table;
+        let key = |address: SocketAddr| {
+            let listed =
+                |slot: &Slot| slot.endpoint.address == address && slot.standing != Standing::Gone;
+            table.iter().find(|(_, slot)| listed(slot)).map(|(key, _)| key)
+        };
+        let paces = slow.into_iter().filter_map(|(at, pace)| Some((key(at)?, pace))).collect();
+        state.own_paces = paces;
+    }
+
+    /// Slow endpoints for the news to peers.
+    pub fn pace_news(&self) -> Vec<PaceNews> {
+        let state = self.lock();
+        let paces = state.own_paces.iter();
+        let news = paces.map(|(key, pace)| PaceNews {
+            endpoint: state.sides[key.index()].hash,
+            percent: (pace * 100.0) as u32,
+        });
+        news.collect()
+    }
+
+    /// Takes the slow endpoints that the planning gateway tells.
+    pub fn hear_paces(&self, paces: &[PaceNews], now: Duration) {
+        let mut state = self.lock();
+        let known = paces.iter().filter_map(|news| {
+            Some((*state.hashes.get(&news.endpoint)?, f64::from(news.percent) / 100.0))
+        });
+        let known = known.collect();
+        state.told_paces = (now, known);
+    }
+
     /// Places a request at an endpoint of a service with a free slot, and counts it there.
     pub fn place(
         &self,
@@ -386,7 +435,7 @@
                 own: self.loads.own_at(*key).requests,
                 homes,
                 far: self.table.get(*key).is_some_and(|slot| slot.endpoint.centre != centre),
-                slowness: self.sides[key.index()].ejection.load_factor(now),
+                slowness: self.sides[key.index()].ejection.load_factor(now) * self.pace(*key, now),
             })
             .collect();
         let healthy: Vec<Candidate> =
@@ -398,6 +447,14 @@
         }
     }
 
+    /// Factor by which an endpoint is slower than it should be.
+    fn pace(&self, key: EndpointKey, now: Duration) -> f64 {
+        let (told, paces) = &self.told_paces;
+        let told = if now.saturating_sub(*told) <= PACE_AGE_MAX { paces.as_slice() } else { &[] };
+        let known = self.own_paces.iter().chain(told).find(|(other, _)| *other == key);
+        known.map_or(1.0, |(_, pace)| *pace)
+    }
+
     fn slots(&self, key: EndpointKey) -> u32 {
         self.table.get(key).map_or(0, |slot| slot.endpoint.slots)
     }
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -280,6 +280,7 @@
         self.follow_seat(now);
         let naming = round % NAMING_ROUNDS == 0;
         let works = self.endpoints.news();
+        let paces = self.endpoints.pace_news();
         let proof = self.config.proof_age(now).map(|age| age.as_millis() as u32);
         let (news, targets) = {
             let mut state = self.peers.lock();
@@ -295,6 +296,7 @@
                 store: state.store.map(|at| now.saturating_sub(at).as_millis() as u32),
                 listing: state.listing.0,
                 duty: state.duty.held(),
+                paces,
                 works,
                 others,
             };
@@ -378,6 +380,7 @@
         self.take_proof(&news, echo);
         if let Some(fence) = news.duty {
             self.peers.lock().duty.hear(fence, now);
+            self.endpoints.hear_paces(&news.paces, now);
         }
         self.endpoints.hear(&news.state.instance, &news.works, now);
         self.config.hear(news.state.version, news.address.news);
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -17,7 +17,6 @@
 use bw_expert::drive::Answer;
 use bw_expert::drive::Driver;
 use bw_expert::drive::Phase;
-use bw_expert::drive::RankState;
 use bw_expert::drive::Sending;
 use bw_expert::policy::replicas::improve;
 use bw_expert::policy::replicas::Placement;
@@ -53,6 +52,12 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Time between two readings of counts.
 const SAMPLE_EVERY: Duration = Duration::from_millis(500);
+/// Time between the first two readings, before which nothing is known.
+const SAMPLE_FIRST: Duration = Duration::from_millis(200);
+/// Time between two readings of all ranks' reports.
+const LOOK_EVERY: Duration = Duration::from_millis(1_500);
+/// Pace from which a rank counts as slow.
+const SLOW_PACE: f64 = 1.15;
 /// Ranks whose counts are read.
 const SAMPLED_RANKS: usize = 2;
 /// Time in which a rank answers an order.
@@ -91,11 +96,14 @@
 /// What a call to a rank brought.
 enum Event {
     Answered(String, Sending, Answer),
-    Reported(String, u16, Option<RankState>),
+    Reported(String, u16, Option<engines::RankReport>),
     Counted(String, u16, Option<engines::Counts>),
     Held(String, u16, Option<engines::Held>),
 }
 
+/// A call to a rank that is on its way.
+type Call = futures::future::BoxFuture<'static, Event>;
+
 /// One group as its planner sees it.
 struct Group {
     view: GroupView,
@@ -103,14 +111,20 @@
     lag: Duration,
     driver: Driver,
     sampler: Sampler,
+    /// Factor by which each rank is slower than it should be.
+    paces: Vec<f64>,
+    /// When reports were last read.
+    looked: Duration,
     /// Map in use, once it is known.
     map: Option<Vec<Placement>>,
     /// Map that is being switched to.
     next: Option<Vec<Placement>>,
     /// Experts of each rank while the map in use is being read.
     reading: HashMap<u16, engines::Held>,
-    /// Reads that are on their way.
+    /// Reports and lists of experts that are on their way.
     pending: usize,
+    /// Counts that are on their way.
+    counting: usize,
     /// When the driver's phase began.
     since: Duration,
     phase: Phase,
@@ -145,6 +159,7 @@
                         Some(fence) => self.follow_groups(&mut groups, fence),
                         None => groups.clear(),
                     }
+                    self.share_paces(&groups);
                 }
                 Some(event) = calls.next() => self.take(&mut groups, event),
                 () = stop.wait() => return Ok(()),
@@ -157,6 +172,12 @@
         }
     }
 
+    /// Tells this gateway's endpoints, and with its news all others, which ranks are slow.
+    fn share_paces(&self, groups: &BTreeMap<String, Group>) {
+        let slow = groups.values().flat_map(Group::slow_ranks);
+        self.endpoints.set_paces(slow.collect());
+    }
+
     /// Takes the duty over when its holder is silent.
     async fn hold_duty(&self) {
         let now = self.clock.now();
@@ -232,12 +253,16 @@
                     self.peers.resign_duty(now);
                 }
             }
-            Event::Reported(name, rank, state) => {
+            Event::Reported(name, rank, report) => {
                 let Some(group) = groups.get_mut(&name) else { return };
-                group.pending -= 1;
-                if let Some(state) = state {
+                group.pending = group.pending.saturating_sub(1);
+                if let Some(report) = report {
+                    let state = report.state;
                     group.note_step(state.step, now.saturating_sub(group.lag));
                     group.driver.report(rank, state);
+                    if let Some(pace) = group.paces.get_mut(usize::from(rank)) {
+                        *pace = report.pace.max(1.0);
+                    }
                     if group.driver.phase() != Phase::Reading && state.map == MapVersion(0) {
                         group.map = Some(group.first_map());
                     }
@@ -245,7 +270,7 @@
             }
             Event::Counted(name, rank, counts) => {
                 let Some(group) = groups.get_mut(&name) else { return };
-                group.pending -= 1;
+                group.counting = group.counting.saturating_sub(1);
                 if let Some(counts) = counts {
                     group.note_step(counts.step, now);
                     group.sampler.take(rank, counts.epoch, &counts.counts);
@@ -253,7 +278,7 @@
             }
             Event::Held(name, rank, held) => {
                 let Some(group) = groups.get_mut(&name) else { return };
-                group.pending -= 1;
+                group.pending = group.pending.saturating_sub(1);
                 if let Some(held) = held {
                     group.reading.insert(rank, held);
                     group.join_map();
@@ -263,13 +288,9 @@
     }
 
     /// Calls that a group needs now.
-    fn advance(
-        &self,
-        group: &mut Group,
-        client: &Client,
-    ) -> Vec<futures::future::BoxFuture<'static, Event>> {
+    fn advance(&self, group: &mut Group, client: &Client) -> Vec<Call> {
         let now = self.clock.now();
-        let mut calls: Vec<futures::future::BoxFuture<'static, Event>> = Vec::new();
+        let mut calls: Vec<Call> = Vec::new();
         if group.driver.phase() != group.phase {
             group.enter(now);
         }
@@ -282,11 +303,7 @@
         match group.phase {
             Phase::Reading if group.may_read(now) => {
                 group.since = now;
-                for (rank, address) in group.view.addresses() {
-                    group.pending += 1;
-                    let name = group.view.name.clone();
-                    calls.push(Box::pin(read_report(client.clone(), name, rank, address)));
-                }
+                group.push_reports(client, &mut calls);
             }
             Phase::Idle => self.plan(group, client, now, &mut calls),
             Phase::Preparing => {
@@ -323,17 +340,11 @@
     }
 
     /// Samples demand and begins a switch that is worth it.
-    fn plan(
-        &self,
-        group: &mut Group,
-        client: &Client,
-        now: Duration,
-        calls: &mut Vec<futures::future::BoxFuture<'static, Event>>,
-    ) {
-        if group.pending > 0 {
-            return;
-        }
+    fn plan(&self, group: &mut Group, client: &Client, now: Duration, calls: &mut Vec<Call>) {
         if group.map.is_none() {
+            if group.pending > 0 {
+                return;
+            }
             group.reading.clear();
             for (rank, address) in group.view.addresses() {
                 group.pending += 1;
@@ -342,14 +353,21 @@
             }
             return;
         }
-        if group.sampler.settle() {
+        if group.counting == 0 && group.sampler.settle() {
             self.try_switch(group, now);
         }
-        if group.driver.phase() == Phase::Idle && now.saturating_sub(group.sampled) >= SAMPLE_EVERY
-        {
+        if group.driver.phase() != Phase::Idle {
+            return;
+        }
+        if group.pending == 0 && now.saturating_sub(group.looked) >= LOOK_EVERY {
+            group.looked = now;
+            group.push_reports(client, calls);
+        }
+        let every = if group.sampler.demand().is_some() { SAMPLE_EVERY } else { SAMPLE_FIRST };
+        if group.counting == 0 && now.saturating_sub(group.sampled) >= every {
             group.sampled = now;
             for (rank, address) in group.view.addresses().into_iter().take(SAMPLED_RANKS) {
-                group.pending += 1;
+                group.counting += 1;
                 let name = group.view.name.clone();
                 calls.push(Box::pin(read_counts(client.clone(), name, rank, address)));
             }
@@ -363,11 +381,13 @@
         }
         let (Some(map), Some(demand)) = (&group.map, group.sampler.demand()) else { return };
         let room = Room { places: group.shape.places, spare: group.shape.spare, price: COPY_PRICE };
+        let paces = &group.paces;
+        let sets = map.iter().zip(demand);
         let next: Vec<Placement> =
-            map.iter().zip(demand).map(|(set, demand)| improve(set, demand, room)).collect();
+            sets.map(|(set, demand)| improve(set, demand, paces, room)).collect();
         let skew = |map: &[Placement]| {
-            let sum: f64 = map.iter().zip(demand).map(|(set, demand)| set.skew(demand)).sum();
-            sum / map.len().max(1) as f64
+            let sets = map.iter().zip(demand);
+            sets.map(|(set, demand)| set.skew(demand, paces)).sum::<f64>() / map.len().max(1) as f64
         };
         let (before, after) = (skew(map), skew(&next));
         if before - after < GAIN_MIN {
@@ -416,12 +436,15 @@
             sampler: Sampler::new(shape.sets, shape.experts),
             shape,
             lag: engine.lag,
+            paces: vec![1.0; view.ranks.len()],
+            looked: now,
             view,
             driver,
             map: None,
             next: None,
             reading: HashMap::new(),
             pending: 0,
+            counting: 0,
             since: now,
             phase,
             sampled: Duration::ZERO,
@@ -433,6 +456,12 @@
         }
     }
 
+    /// Names of slow ranks with their paces.
+    fn slow_ranks(&self) -> Vec<(SocketAddr, f64)> {
+        let slow = self.paces.iter().enumerate().filter(|(_, pace)| **pace >= SLOW_PACE);
+        slow.filter_map(|(rank, pace)| Some((self.view.address(rank as u16)?, *pace))).collect()
+    }
+
     /// Follows the driver into its next phase.
     fn enter(&mut self, now: Duration) {
         let before = self.phase;
@@ -462,6 +491,15 @@
         }
     }
 
+    /// Asks all ranks for their reports.
+    fn push_reports(&mut self, client: &Client, calls: &mut Vec<Call>) {
+        for (rank, address) in self.view.addresses() {
+            self.pending += 1;
+            let name = self.view.name.clone();
+            calls.push(Box::pin(read_report(client.clone(), name, rank, address)));
+        }
+    }
+
     /// Whether all ranks can be asked for reports that show what the last phase has done.
     fn may_read(&self, now: Duration) -> bool {
         let aged = now.saturating_sub(self.since) >= self.lag;
