Explore the driver of map switches, plan in small pieces

Change: the search keeps a sum of powers and evaluates a change by the ranks that it alters; a plan yields after each set. bw-explore gets a model of the ranks as they are published (late commands, fencing, holds, lives) around the real driver. Ranks that start held steps, obey replaced drivers, or report stale state are caught.

--- a/crates/bw-expert/src/policy/replicas.rs
+++ b/crates/bw-expert/src/policy/replicas.rs
@@ -6,7 +6,7 @@
 
 use smallvec::SmallVec;
 
-use super::skew::smooth_peak;
+use super::skew::SMOOTH;
 
 /// Experts of the busiest rank that are tried in each round.
 const EXPERTS_TRIED: usize = 4;
@@ -115,15 +115,20 @@
     if total <= 0.0 || paces.len() != before.ranks.len() {
         return before.clone();
     }
+    let mean = total / before.ranks.len() as f64;
+    let times = before.times(demand, paces);
+    let powers: Vec<f64> = times.iter().map(|time| power(*time, mean)).collect();
     let mut search = Search {
         before,
         demand,
         paces,
         room,
-        mean: total / before.ranks.len() as f64,
+        mean,
         placement: before.clone(),
-        holders: before.holders(demand.len()),
-        times: before.times(demand, paces),
+        holders: holder_lists(before, demand.len()),
+        sum: powers.iter().sum(),
+        times,
+        powers,
     };
     for _ in 0..ROUNDS_MAX {
         if !search.step() {
@@ -133,6 +138,27 @@
     search.placement
 }
 
+/// Ranks that hold each expert.
+fn holder_lists(placement: &Placement, experts: usize) -> Vec<Holders> {
+    let mut lists = vec![Holders::new(); experts];
+    for (rank, held) in placement.ranks.iter().enumerate() {
+        for expert in held {
+            lists[usize::from(*expert)].push(rank as u16);
+        }
+    }
+    lists
+}
+
+/// A rank's share of the smooth peak.
+fn power(time: f64, mean: f64) -> f64 {
+    (time / mean).powi(SMOOTH)
+}
+
+/// Ranks that hold an expert.
+type Holders = SmallVec<[u16; 8]>;
+/// Ranks whose times a change alters, with the times after it.
+type Altered = SmallVec<[(usize, f64); 16]>;
+
 struct Search<'a> {
     before: &'a Placement,
     demand: &'a [f64],
@@ -141,8 +167,11 @@
     /// Mean time of a rank if all were sound and evenly loaded.
     mean: f64,
     placement: Placement,
-    holders: Vec<u16>,
+    holders: Vec<Holders>,
     times: Vec<f64>,
+    powers: Vec<f64>,
+    /// Sum of the powers.
+    sum: f64,
 }
 
 impl Search<'_> {
@@ -151,10 +180,10 @@
         let mut order: Vec<usize> = (0..self.times.len()).collect();
         order.sort_by(|a, b| self.times[*a].total_cmp(&self.times[*b]));
         let Some(busiest) = order.last().copied() else { return false };
-        let now = smooth_peak(&self.times, self.mean);
+        let now = self.peak(self.sum);
         let mut best: Option<(f64, Change)> = None;
         for change in self.changes(busiest, &order) {
-            let saved = now - smooth_peak(&self.times_after(change), self.mean);
+            let saved = now - self.peak(self.sum_after(change));
             let gain = saved - self.room.price * self.copies(change) as f64;
             if best.as_ref().is_none_or(|(most, _)| gain > *most) {
                 best = Some((gain, change));
@@ -162,7 +191,6 @@
         }
         match best {
             Some((gain, change)) if gain > GAIN_MIN => {
-                self.times = self.times_after(change);
                 self.apply(change);
                 true
             }
@@ -170,6 +198,18 @@
         }
     }
 
+    /// The smooth peak for a sum of powers.
+    fn peak(&self, sum: f64) -> f64 {
+        (sum / self.times.len() as f64).powf(1.0 / f64::from(SMOOTH))
+    }
+
+    fn sum_after(&self, change: Change) -> f64 {
+        let altered = self.altered(change);
+        let change =
+            altered.iter().map(|(rank, time)| power(*time, self.mean) - self.powers[*rank]);
+        (self.sum + change.sum::<f64>()).max(0.0)
+    }
+
     /// Experts that a change makes ranks receive.
     fn copies(&self, change: Change) -> usize {
         let is_new =
@@ -187,7 +227,7 @@
         let mut experts = self.placement.ranks[busiest].clone();
         experts.sort_by(|a, b| self.part(*b).total_cmp(&self.part(*a)));
         for expert in experts.iter().copied().take(EXPERTS_TRIED) {
-            if self.holders[usize::from(expert)] > 1 {
+            if self.holders[usize::from(expert)].len() > 1 {
                 changes.push(Change::Drop { rank: busiest, expert });
             }
             for rank in order.iter().copied().take(RANKS_TRIED).filter(|rank| *rank != busiest) {
@@ -207,8 +247,8 @@
             changes.push(Change::Take { rank, expert, instead: None });
         }
         for other in held {
-            if self.holders[usize::from(*other)] > 1 && self.can_receive(rank, expert, Some(*other))
-            {
+            let spare = self.holders[usize::from(*other)].len() > 1;
+            if spare && self.can_receive(rank, expert, Some(*other)) {
                 changes.push(Change::Take { rank, expert, instead: Some(*other) });
             }
         }
@@ -228,7 +268,11 @@
 
     /// Load that an expert brings to each of its holders, for a sound rank.
     fn part(&self, expert: u16) -> f64 {
-        self.demand[usize::from(expert)] / f64::from(self.holders[usize::from(expert)].max(1))
+        self.part_of(expert, self.holders[usize::from(expert)].len())
+    }
+
+    fn part_of(&self, expert: u16, holders: usize) -> f64 {
+        self.demand[usize::from(expert)] / holders.max(1) as f64
     }
 
     /// Whether a rank may take an expert in place of another one.
@@ -239,71 +283,89 @@
         received + usize::from(!before.contains(&expert)) <= self.room.spare
     }
 
-    fn times_after(&self, change: Change) -> Vec<f64> {
-        let mut times = self.times.clone();
+    /// Ranks whose times a change alters.
+    fn altered(&self, change: Change) -> Altered {
+        let mut altered = Altered::new();
         match change {
             Change::Take { rank, expert, instead } => {
-                self.shift(&mut times, expert, 1, Some(rank), None);
+                self.alter(&mut altered, expert, 1, Some(rank), None);
                 if let Some(other) = instead {
-                    self.shift(&mut times, other, -1, None, Some(rank));
+                    self.alter(&mut altered, other, -1, None, Some(rank));
                 }
             }
-            Change::Drop { rank, expert } => self.shift(&mut times, expert, -1, None, Some(rank)),
+            Change::Drop { rank, expert } => {
+                self.alter(&mut altered, expert, -1, None, Some(rank));
+            }
             Change::Swap { from, expert, to, other } => {
                 let moved = self.part(expert) - self.part(other);
-                times[from] -= self.paces[from] * moved;
-                times[to] += self.paces[to] * moved;
+                self.add(&mut altered, from, -moved);
+                self.add(&mut altered, to, moved);
             }
         }
-        times
+        altered
     }
 
     /// Adjusts times for one holder of `expert` more or fewer.
-    fn shift(
+    fn alter(
         &self,
-        times: &mut [f64],
+        altered: &mut Altered,
         expert: u16,
-        step: i32,
+        step: isize,
         joins: Option<usize>,
         leaves: Option<usize>,
     ) {
+        let holders = &self.holders[usize::from(expert)];
         let before = self.part(expert);
-        let count = i32::from(self.holders[usize::from(expert)]) + step;
-        let after = self.demand[usize::from(expert)] / f64::from(count.max(1));
-        for (rank, experts) in self.placement.ranks.iter().enumerate() {
-            if experts.contains(&expert) {
-                times[rank] += self.paces[rank] * (after - before);
-            }
+        let after = self.part_of(expert, holders.len().saturating_add_signed(step));
+        for rank in holders {
+            self.add(altered, usize::from(*rank), after - before);
         }
         if let Some(rank) = joins {
-            times[rank] += self.paces[rank] * after;
+            self.add(altered, rank, after);
         }
         if let Some(rank) = leaves {
-            times[rank] -= self.paces[rank] * after;
+            self.add(altered, rank, -after);
+        }
+    }
+
+    fn add(&self, altered: &mut Altered, rank: usize, load: f64) {
+        let time = self.paces[rank] * load;
+        match altered.iter_mut().find(|(other, _)| *other == rank) {
+            Some((_, known)) => *known += time,
+            None => altered.push((rank, self.times[rank] + time)),
         }
     }
 
     fn apply(&mut self, change: Change) {
+        for (rank, time) in self.altered(change) {
+            self.times[rank] = time.max(0.0);
+            self.powers[rank] = power(self.times[rank], self.mean);
+        }
+        self.sum = self.powers.iter().sum();
         match change {
             Change::Take { rank, expert, instead } => {
                 if let Some(other) = instead {
                     self.give_up(rank, other);
                 }
-                self.placement.ranks[rank].push(expert);
-                self.holders[usize::from(expert)] += 1;
+                self.receive(rank, expert);
             }
             Change::Drop { rank, expert } => self.give_up(rank, expert),
             Change::Swap { from, expert, to, other } => {
-                self.placement.ranks[from].retain(|held| *held != expert);
-                self.placement.ranks[from].push(other);
-                self.placement.ranks[to].retain(|held| *held != other);
-                self.placement.ranks[to].push(expert);
+                self.give_up(from, expert);
+                self.give_up(to, other);
+                self.receive(from, other);
+                self.receive(to, expert);
             }
         }
     }
 
+    fn receive(&mut self, rank: usize, expert: u16) {
+        self.placement.ranks[rank].push(expert);
+        self.holders[usize::from(expert)].push(rank as u16);
+    }
+
     fn give_up(&mut self, rank: usize, expert: u16) {
         self.placement.ranks[rank].retain(|held| *held != expert);
-        self.holders[usize::from(expert)] -= 1;
+        self.holders[usize::from(expert)].retain(|holder| usize::from(*holder) != rank);
     }
 }
--- a/crates/bw-expert/src/policy/skew.rs
+++ b/crates/bw-expert/src/policy/skew.rs
@@ -15,7 +15,7 @@
 }
 
 /// Exponent of the smooth skew.
-const SMOOTH: i32 = 16;
+pub(super) const SMOOTH: i32 = 16;
 
 /// A smooth form of skew, which also falls when one of several equally busy ranks is relieved.
 pub fn smooth_skew(loads: &[f64]) -> f64 {
@@ -23,13 +23,9 @@
     if total <= 0.0 {
         return 1.0;
     }
-    smooth_peak(loads, total / loads.len() as f64)
-}
-
-/// A smooth form of the longest time over a given mean.
-pub fn smooth_peak(times: &[f64], mean: f64) -> f64 {
-    let sum: f64 = times.iter().map(|time| (time / mean).powi(SMOOTH)).sum();
-    (sum / times.len().max(1) as f64).powf(1.0 / f64::from(SMOOTH))
+    let mean = total / loads.len() as f64;
+    let sum: f64 = loads.iter().map(|load| (load / mean).powi(SMOOTH)).sum();
+    (sum / loads.len() as f64).powf(1.0 / f64::from(SMOOTH))
 }
 
 /// Mean skew over the layers, which is the factor by which the expert part of a step is longer
--- a/crates/bw-explore/src/lib.rs
+++ b/crates/bw-explore/src/lib.rs
@@ -4,6 +4,7 @@
 //! variants are made by changing what passes between a model and a core, so the cores carry no
 //! switches for tests.
 
+pub mod drive;
 pub mod once;
 pub mod search;
 pub mod switch;
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -99,6 +99,7 @@
     Reported(String, u16, Option<engines::RankReport>),
     Counted(String, u16, Option<engines::Counts>),
     Held(String, u16, Option<engines::Held>),
+    Planned(String, MapPlan),
 }
 
 /// A call to a rank that is on its way.
@@ -138,6 +139,8 @@
     target: u64,
     /// When ranks are expected to have received their experts.
     copied: Duration,
+    /// Whether a plan is being made.
+    planning: bool,
 }
 
 impl PlanService {
@@ -276,6 +279,11 @@
                     group.sampler.take(rank, counts.epoch, &counts.counts);
                 }
             }
+            Event::Planned(name, plan) => {
+                if let Some(group) = groups.get_mut(&name) {
+                    self.take_plan(group, plan, now);
+                }
+            }
             Event::Held(name, rank, held) => {
                 let Some(group) = groups.get_mut(&name) else { return };
                 group.pending = group.pending.saturating_sub(1);
@@ -354,7 +362,7 @@
             return;
         }
         if group.counting == 0 && group.sampler.settle() {
-            self.try_switch(group, now);
+            calls.extend(self.begin_plan(group, now));
         }
         if group.driver.phase() != Phase::Idle {
             return;
@@ -374,40 +382,79 @@
         }
     }
 
-    fn try_switch(&self, group: &mut Group, now: Duration) {
+    /// Begins to plan, if a switch may follow.
+    fn begin_plan(&self, group: &mut Group, now: Duration) -> Option<Call> {
         let in_force = group.step.0 >= group.target;
-        if !in_force || now.saturating_sub(group.switched) < SWITCH_PAUSE {
-            return;
+        if !in_force || now.saturating_sub(group.switched) < SWITCH_PAUSE || group.planning {
+            return None;
         }
-        let (Some(map), Some(demand)) = (&group.map, group.sampler.demand()) else { return };
+        let (map, demand) = (group.map.clone()?, group.sampler.demand()?.to_vec());
         let room = Room { places: group.shape.places, spare: group.shape.spare, price: COPY_PRICE };
-        let paces = &group.paces;
-        let sets = map.iter().zip(demand);
-        let next: Vec<Placement> =
-            sets.map(|(set, demand)| improve(set, demand, paces, room)).collect();
-        let skew = |map: &[Placement]| {
-            let sets = map.iter().zip(demand);
-            sets.map(|(set, demand)| set.skew(demand, paces)).sum::<f64>() / map.len().max(1) as f64
-        };
-        let (before, after) = (skew(map), skew(&next));
-        if before - after < GAIN_MIN {
+        group.planning = true;
+        let (name, paces) = (group.view.name.clone(), group.paces.clone());
+        Some(Box::pin(make_plan(name, map, demand, paces, room)))
+    }
+
+    /// Switches to a planned map, unless it brings too little or the group has moved on.
+    fn take_plan(&self, group: &mut Group, plan: MapPlan, now: Duration) {
+        group.planning = false;
+        let same = group.map.as_ref() == Some(&plan.before);
+        if !same || group.driver.phase() != Phase::Idle || plan.gain() < GAIN_MIN {
             return;
         }
-        let received: usize = next.iter().zip(map).map(|(next, set)| next.received(set)).sum();
+        let received: usize =
+            plan.next.iter().zip(&plan.before).map(|(next, set)| next.received(set)).sum();
         let copying = group.shape.bytes / group.shape.copying.max(1.0);
-        group.copied = now + Duration::from_secs_f64(copying * most_received(&next, map) as f64);
+        let most = most_received(&plan.next, &plan.before);
+        group.copied = now + Duration::from_secs_f64(copying * most as f64);
         let version = MapVersion(group.driver.fence().0.max(group.driver.version().0 + 1));
         info!(
-            "event=place group={} version={version} skew_before={before:.3} skew_after={after:.3} \
+            "event=place group={} version={version} skew_before={:.3} skew_after={:.3} \
              received={received} step={}",
-            group.view.name, group.step.0
+            group.view.name, plan.skew_before, plan.skew_after, group.step.0
         );
-        group.next = Some(next);
+        group.next = Some(plan.next);
         group.switched = now;
         group.driver.begin(version);
     }
 }
 
+/// A map that was planned, and what it was planned from.
+struct MapPlan {
+    before: Vec<Placement>,
+    next: Vec<Placement>,
+    skew_before: f64,
+    skew_after: f64,
+}
+
+impl MapPlan {
+    /// Part of the mean load that the new map saves on the busiest rank.
+    fn gain(&self) -> f64 {
+        self.skew_before - self.skew_after
+    }
+}
+
+/// Plans set by set, and lets requests through in between.
+async fn make_plan(
+    group: String,
+    before: Vec<Placement>,
+    demand: Vec<Vec<f64>>,
+    paces: Vec<f64>,
+    room: Room,
+) -> Event {
+    let sets = before.len().max(1) as f64;
+    let (mut skew_before, mut skew_after) = (0.0, 0.0);
+    let mut next = Vec::with_capacity(before.len());
+    for (set, demand) in before.iter().zip(&demand) {
+        let placement = improve(set, demand, &paces, room);
+        skew_before += set.skew(demand, &paces) / sets;
+        skew_after += placement.skew(demand, &paces) / sets;
+        next.push(placement);
+        tokio::task::yield_now().await;
+    }
+    Event::Planned(group, MapPlan { before, next, skew_before, skew_after })
+}
+
 /// Experts that the rank with the most of them receives, over all sets.
 fn most_received(next: &[Placement], map: &[Placement]) -> usize {
     let ranks = next.first().map_or(0, |set| set.ranks.len());
@@ -453,6 +500,7 @@
             pace: engine.step * engine.stride,
             target: 0,
             copied: Duration::ZERO,
+            planning: false,
         }
     }
 
