--- a/crates/bw-explore/src/drive.rs
+++ b/crates/bw-explore/src/drive.rs
@@ -145,7 +145,7 @@
     /// Whether a step is held that no driver is going to release.
     pub fn is_stuck(&self) -> bool {
         let held = self.ranks.iter().any(|rank| rank.state.held.is_some());
-        held && self.flying.is_empty() && self.drivers.iter().all(|driver| is_at_rest(driver))
+        held && self.flying.is_empty() && self.drivers.iter().all(is_at_rest)
     }
 
     /// Puts the commands that drivers have to send on their way.
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -68,6 +68,10 @@
 const STUCK_MAX: Duration = Duration::from_millis(1_500);
 /// Steps between the present one and the one of a switch.
 const STEP_MARGIN: u64 = 2;
+/// Shortest and longest time that a step is taken to last.
+const PACE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(1_000));
+/// Steps beyond the last known one that are taken to have started at most.
+const STEPS_AHEAD_MAX: u64 = 10;
 /// Part of the mean load that a new map has to save on the busiest rank, averaged over the sets.
 const GAIN_MIN: f64 = 0.20;
 /// Part of the mean load that a received expert has to save on the busiest rank of its set.
@@ -554,13 +558,14 @@
         self.pending == 0 && aged && self.view.is_open()
     }
 
+    /// Notes that a step had started at a time. What is older than known says nothing.
     fn note_step(&mut self, step: u64, at: Duration) {
         let (known, then) = self.step;
-        if step > known && known > 0 && at > then {
+        if known > 0 && step > known && at > then {
             let pace = (at - then) / (step - known) as u32;
-            self.pace = pace;
+            self.pace = pace.clamp(PACE.0, PACE.1);
         }
-        if step != known || known == 0 {
+        if known == 0 || (step > known && at > then) {
             self.step = (step, at);
         }
     }
@@ -568,8 +573,8 @@
     /// The step that is expected to run at `now`.
     fn step_at(&self, now: Duration) -> u64 {
         let (step, at) = self.step;
-        let passed = now.saturating_sub(at).as_secs_f64() / self.pace.as_secs_f64().max(0.001);
-        step + passed.min(20.0) as u64
+        let passed = now.saturating_sub(at).as_secs_f64() / self.pace.as_secs_f64();
+        step + (passed as u64).min(STEPS_AHEAD_MAX)
     }
 
     fn first_map(&self) -> Vec<Placement> {
