See shifts of demand by the pauses of streams, and read counts only then

Load: demand that shifts every 2.2 to 4 s; counts read from afar are priced and pause the group, and a switch costs three orders a rank. Change: StepTrack compares the newest pauses of this gateway's streams with the usual ones; when they have grown, one rank is read twice 150 ms apart and a map planned from the difference. Without a jump one rank is read each second. The gain for which a switch is made falls as steps come near the longest timely pause.

--- a/crates/bw-direct/src/catalog.rs
+++ b/crates/bw-direct/src/catalog.rs
@@ -301,6 +301,13 @@
         self.services.find(|service| service.name == name).map(|(_, service)| service)
     }
 
+    /// The shortest of the pauses that the routes of a service call timely.
+    pub fn shortest_pause(&self, service: &str) -> Option<Duration> {
+        let serves = |route: &Route| route.targets.iter().any(|target| target.service == service);
+        let routes = self.routes.iter().map(|(_, route)| route).filter(|route| serves(route));
+        routes.filter_map(|route| route.pause).min()
+    }
+
     fn add_workspace(&mut self, workspace: Workspace) -> Result<(), CatalogError> {
         let next = WorkspaceKey::from_index(self.workspaces.len() as u32);
         for key in &workspace.keys {
--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -13,5 +13,6 @@
 pub mod place;
 pub mod relay;
 pub mod request;
+pub mod steps;
 
 pub use catalog::Catalog;
--- a/crates/bw-expert/src/policy/sample.rs
+++ b/crates/bw-expert/src/policy/sample.rs
@@ -50,6 +50,13 @@
         }
     }
 
+    /// Takes the counts of a rank as the point from which the next ones count, since demand was
+    /// another before.
+    pub fn rebase(&mut self, rank: u16, epoch: u64, counts: &[u64]) {
+        self.take(rank, epoch, counts);
+        self.gathered.iter_mut().for_each(|count| *count = 0);
+    }
+
     /// Moves the estimate by what was gathered since the last time; false when that was too little.
     pub fn settle(&mut self) -> bool {
         let total: u64 = self.gathered.iter().sum();
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -23,6 +23,7 @@
 use bw_direct::place::place;
 use bw_direct::place::Candidate;
 use bw_direct::place::Found;
+use bw_direct::steps::StepTrack;
 use bw_http::Channel;
 use bw_model::hash::rendezvous_weight;
 use bw_model::Key;
@@ -63,6 +64,8 @@
     random: SmallRng,
     /// Place of this gateway among those that are alive, and their number.
     seat: (usize, usize),
+    /// Pauses of the streams of each group.
+    steps: HashMap<String, StepTrack>,
     /// Slow endpoints as this gateway's planner sees them.
     own_paces: Vec<(EndpointKey, f64)>,
     /// Slow endpoints as the planning gateway tells, and when it last did.
@@ -133,6 +136,7 @@
             hashes: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
             seat: (0, 1),
+            steps: HashMap::new(),
             own_paces: Vec::new(),
             told_paces: (Duration::ZERO, Vec::new()),
         };
@@ -199,6 +203,19 @@
         self.lock().seat = (place, gateways);
     }
 
+    /// Notes that an event of a stream came `pause` after the one before it.
+    pub fn note_pause(&self, key: EndpointKey, pause: Duration, now: Duration) {
+        let mut state = self.lock();
+        let member = state.table.get(key).and_then(|slot| slot.endpoint.member.as_ref());
+        let Some(group) = member.map(|member| member.group.clone()) else { return };
+        state.steps.entry(group).or_default().note(pause, now);
+    }
+
+    /// Pauses of a group's streams.
+    pub fn steps(&self, group: &str) -> StepTrack {
+        self.lock().steps.get(group).cloned().unwrap_or_default()
+    }
+
     /// Sets the slow endpoints as this gateway's planner sees them.
     pub fn set_paces(&self, slow: Vec<(SocketAddr, f64)>) {
         let mut state = self.lock();
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -5,6 +5,7 @@
 
 use bw_adapter::requests::reply_headers;
 use bw_direct::attempts::SendEnd;
+use bw_direct::endpoint::EndpointKey;
 use bw_direct::events::Events;
 use bytes::Bytes;
 use log::info;
@@ -123,6 +124,7 @@
             match next {
                 Ok(Some(bytes)) => {
                     if let Some(events) = buffer.push(&bytes) {
+                        self.note_pause(opened.placed.chosen.key);
                         if !self.give(events).await {
                             return PartEnd::Left;
                         }
@@ -143,6 +145,12 @@
         }
     }
 
+    /// Notes how long the endpoint has taken since the last event.
+    fn note_pause(&self, key: EndpointKey) {
+        let now = self.forwarder.clock.now();
+        self.forwarder.endpoints.note_pause(key, now.saturating_sub(self.passed), now);
+    }
+
     async fn give(&mut self, events: Events) -> bool {
         self.last = events.last.or(self.last);
         self.events += events.count;
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -49,17 +49,17 @@
 /// Bits of a fencing number that a holder may use up by itself.
 const FENCE_BITS: u32 = 24;
 /// Time between two looks at what is to be done.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
 /// Time between two readings of counts.
-const SAMPLE_EVERY: Duration = Duration::from_millis(500);
-/// Time between the first two readings, before which nothing is known.
-const SAMPLE_FIRST: Duration = Duration::from_millis(200);
+const SAMPLE_EVERY: Duration = Duration::from_millis(1_000);
+/// Time between the two readings that show the new demand after steps have become longer.
+const SAMPLE_SHIFT: Duration = Duration::from_millis(150);
 /// Time between two readings of all ranks' reports.
 const LOOK_EVERY: Duration = Duration::from_millis(1_500);
 /// Pace from which a rank counts as slow.
 const SLOW_PACE: f64 = 1.15;
-/// Ranks whose counts are read.
-const SAMPLED_RANKS: usize = 2;
+/// Time after steps have become longer before that can happen again.
+const JUMP_PAUSE: Duration = Duration::from_millis(700);
 /// Time in which a rank answers an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(150);
 /// Time in which a rank answers a reading.
@@ -72,8 +72,13 @@
 const PACE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(1_000));
 /// Steps beyond the last known one that are taken to have started at most.
 const STEPS_AHEAD_MAX: u64 = 10;
-/// Part of the mean load that a new map has to save on the busiest rank, averaged over the sets.
-const GAIN_MIN: f64 = 0.20;
+/// Part of the mean load that a new map has to save on the busiest rank, averaged over the sets,
+/// while steps are short against the longest timely pause.
+const GAIN_MIN: f64 = 0.35;
+/// The same while steps are so long that callers are close to being late.
+const GAIN_URGENT: f64 = 0.10;
+/// Parts of the longest timely pause that steps take, between which the gain falls.
+const URGENCY: (f64, f64) = (0.35, 0.65);
 /// Part of the mean load that a received expert has to save on the busiest rank of its set.
 const COPY_PRICE: f64 = 0.015;
 /// Time between two questions whether a rank has received its experts.
@@ -106,6 +111,17 @@
     Planned(String, MapPlan),
 }
 
+/// What the next counts are for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sampling {
+    /// To follow demand.
+    Steady,
+    /// To begin anew, since demand has shifted.
+    Rebase,
+    /// To learn the demand after the shift.
+    Shifted,
+}
+
 /// A call to a rank that is on its way.
 type Call = futures::future::BoxFuture<'static, Event>;
 
@@ -120,6 +136,12 @@
     paces: Vec<f64>,
     /// When reports were last read.
     looked: Duration,
+    /// Longest timely pause between the events of the service's streams.
+    pause: Duration,
+    /// What the next counts are for.
+    sampling: Sampling,
+    /// When steps last became longer.
+    jumped: Duration,
     /// Map in use, once it is known.
     map: Option<Vec<Placement>>,
     /// Map that is being switched to.
@@ -227,22 +249,26 @@
         for (_, service) in catalog.services.iter() {
             let Some(engine) = &service.engine else { continue };
             let Some(shape) = &engine.experts else { continue };
+            let pause = catalog.shortest_pause(&service.name).unwrap_or_default();
             for view in self.endpoints.groups(&service.name, now) {
-                views.insert(view.name.clone(), (view, engine.clone(), shape.clone()));
+                views.insert(view.name.clone(), (view, engine.clone(), shape.clone(), pause));
             }
         }
         groups.retain(|name, _| views.contains_key(name));
-        for (name, (view, engine, shape)) in views {
+        for (name, (view, engine, shape, pause)) in views {
             match groups.get_mut(&name) {
                 Some(group) if group.view.ranks.len() == view.ranks.len() => {
                     let changed = group.view.epoch != view.epoch;
                     group.view = view;
+                    group.pause = pause;
                     if changed && group.driver.epoch() != Some(group.view.epoch) {
                         group.driver.reread();
                     }
                 }
                 _ => {
-                    groups.insert(name, Group::new(view, &engine, shape, fence, now));
+                    let mut group = Group::new(view, &engine, shape, fence, now);
+                    group.pause = pause;
+                    groups.insert(name, group);
                 }
             }
         }
@@ -280,7 +306,15 @@
                 group.counting = group.counting.saturating_sub(1);
                 if let Some(counts) = counts {
                     group.note_step(counts.step, now);
-                    group.sampler.take(rank, counts.epoch, &counts.counts);
+                    match group.sampling {
+                        Sampling::Rebase => {
+                            group.sampler.rebase(rank, counts.epoch, &counts.counts);
+                            group.sampling = Sampling::Shifted;
+                        }
+                        Sampling::Steady | Sampling::Shifted => {
+                            group.sampler.take(rank, counts.epoch, &counts.counts);
+                        }
+                    }
                 }
             }
             Event::Planned(name, plan) => {
@@ -366,6 +400,7 @@
             return;
         }
         if group.counting == 0 && group.sampler.settle() {
+            group.sampling = Sampling::Steady;
             calls.extend(self.begin_plan(group, now));
         }
         if group.driver.phase() != Phase::Idle {
@@ -375,10 +410,22 @@
             group.looked = now;
             group.push_reports(client, calls);
         }
-        let every = if group.sampler.demand().is_some() { SAMPLE_EVERY } else { SAMPLE_FIRST };
-        if group.counting == 0 && now.saturating_sub(group.sampled) >= every {
+        let steps = self.endpoints.steps(&group.view.name);
+        let since = now.saturating_sub(group.sampled);
+        let jumped = steps.has_jumped(now) && now.saturating_sub(group.jumped) >= JUMP_PAUSE;
+        let due = match group.sampling {
+            _ if group.counting > 0 => false,
+            Sampling::Steady if jumped => {
+                group.jumped = now;
+                group.sampling = Sampling::Rebase;
+                true
+            }
+            Sampling::Steady => since >= SAMPLE_EVERY,
+            Sampling::Rebase | Sampling::Shifted => since >= SAMPLE_SHIFT,
+        };
+        if due {
             group.sampled = now;
-            for (rank, address) in group.view.addresses().into_iter().take(SAMPLED_RANKS) {
+            if let Some((rank, address)) = group.view.addresses().first().copied() {
                 group.counting += 1;
                 let name = group.view.name.clone();
                 calls.push(Box::pin(read_counts(client.clone(), name, rank, address)));
@@ -399,11 +446,20 @@
         Some(Box::pin(make_plan(name, map, demand, paces, room)))
     }
 
+    /// Gain for which a switch is made: the longer the steps, the less.
+    fn gain_min(&self, group: &Group, now: Duration) -> f64 {
+        let present = self.endpoints.steps(&group.view.name).present(now);
+        let Some(present) = present.filter(|_| !group.pause.is_zero()) else { return GAIN_MIN };
+        let part = present.as_secs_f64() / group.pause.as_secs_f64();
+        let urgency = ((part - URGENCY.0) / (URGENCY.1 - URGENCY.0)).clamp(0.0, 1.0);
+        GAIN_MIN + (GAIN_URGENT - GAIN_MIN) * urgency
+    }
+
     /// Switches to a planned map, unless it brings too little or the group has moved on.
     fn take_plan(&self, group: &mut Group, plan: MapPlan, now: Duration) {
         group.planning = false;
         let same = group.map.as_ref() == Some(&plan.before);
-        if !same || group.driver.phase() != Phase::Idle || plan.gain() < GAIN_MIN {
+        if !same || group.driver.phase() != Phase::Idle || plan.gain() < self.gain_min(group, now) {
             return;
         }
         let received: usize =
@@ -489,6 +545,9 @@
             lag: engine.lag,
             paces: vec![1.0; view.ranks.len()],
             looked: now,
+            pause: Duration::ZERO,
+            sampling: Sampling::Rebase,
+            jumped: Duration::ZERO,
             view,
             driver,
             map: None,
