Judge endpoints by all gateways' answers, learn demand quickly after a shift

Change: health::Health counts answers and failures over two seconds, shares them with the news, compares an endpoint with the others of its service, leaves it out for 1 to 8 s and lets it back after two trials. After a jump a few ranks are read 150 ms apart, and again 400 ms later; jumps count only where no reading or copying makes steps longer. Streams log their longest pause.

--- a/crates/bw-direct/src/endpoint.rs
+++ b/crates/bw-direct/src/endpoint.rs
@@ -158,6 +158,11 @@
         })
     }
 
+    /// Names of all services that ever had endpoints.
+    pub fn services(&self) -> impl Iterator<Item = &str> {
+        self.services.keys().map(String::as_str)
+    }
+
     /// All endpoints.
     pub fn iter(&self) -> impl Iterator<Item = (EndpointKey, &Slot)> {
         self.slots.iter()
--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod endpoint;
 pub mod events;
+pub mod health;
 pub mod load;
 pub mod patience;
 pub mod peers;
--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::health::Counts;
 use crate::load::Work;
 use crate::relay::Near;
 
@@ -30,7 +31,7 @@
     pub news: SocketAddr,
 }
 
-/// Work at an endpoint, by a hash of the endpoint's name.
+/// Work at an endpoint and what became of it, by a hash of the endpoint's name.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WorkNews {
     /// Hash of the endpoint's name.
@@ -39,6 +40,10 @@
     pub requests: u32,
     /// Their prompt tokens that are not yet read.
     pub prompt: u32,
+    /// Requests of the sender that ended there in the last seconds.
+    pub ended: u32,
+    /// Those of them that failed.
+    pub failed: u32,
 }
 
 impl WorkNews {
@@ -46,6 +51,11 @@
     pub fn work(&self) -> Work {
         Work { requests: self.requests, prompt: self.prompt }
     }
+
+    /// What became of the requests that ended.
+    pub fn counts(&self) -> Counts {
+        Counts { ended: self.ended, failed: self.failed }
+    }
 }
 
 /// A slow endpoint, by a hash of its name.
--- a/crates/bw-expert/src/policy/sample.rs
+++ b/crates/bw-expert/src/policy/sample.rs
@@ -5,15 +5,30 @@
 
 use std::collections::HashMap;
 
-/// Weight of a new sample against the estimate while demand is steady.
+/// Weight of a sample against the estimate while demand is steady.
 const STEADY_WEIGHT: f64 = 0.3;
 /// Weight when a sample differs from the estimate by more than noise explains.
-const SHIFT_WEIGHT: f64 = 0.8;
+const CHANGED_WEIGHT: f64 = 0.8;
 /// Difference, as a part of all tokens, beyond which demand has shifted.
-const SHIFT: f64 = 0.22;
+const CHANGED: f64 = 0.22;
+/// Weight of the first sample after a shift, which holds few requests.
+const SHIFT_WEIGHT: f64 = 0.85;
+/// Weight of the second one, which holds more.
+const REFINE_WEIGHT: f64 = 0.7;
 /// Choices below which a sample says too little.
 const CHOICES_MIN: u64 = 2_000;
 
+/// When a sample was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Moment {
+    /// While demand is believed to be steady.
+    Steady,
+    /// Just after demand has shifted.
+    Shift,
+    /// A while after that.
+    Refine,
+}
+
 /// Demand of each expert of each set, in parts of the set's tokens.
 #[derive(Clone, Debug)]
 pub struct Sampler {
@@ -58,7 +73,7 @@
     }
 
     /// Moves the estimate by what was gathered since the last time; false when that was too little.
-    pub fn settle(&mut self) -> bool {
+    pub fn settle(&mut self, moment: Moment) -> bool {
         let total: u64 = self.gathered.iter().sum();
         if total < CHOICES_MIN {
             return false;
@@ -69,8 +84,12 @@
             self.demand = Some(sample);
             return true;
         };
-        let difference = distance(demand, &sample);
-        let weight = if difference > SHIFT { SHIFT_WEIGHT } else { STEADY_WEIGHT };
+        let weight = match moment {
+            Moment::Steady if distance(demand, &sample) > CHANGED => CHANGED_WEIGHT,
+            Moment::Steady => STEADY_WEIGHT,
+            Moment::Shift => SHIFT_WEIGHT,
+            Moment::Refine => REFINE_WEIGHT,
+        };
         for (known, new) in demand.iter_mut().flatten().zip(sample.iter().flatten()) {
             *known += (new - *known) * weight;
         }
--- a/crates/bw-expert/tests/sample.rs
+++ b/crates/bw-expert/tests/sample.rs
@@ -1,5 +1,6 @@
 //! The estimate of demand from the counts of a few ranks.
 
+use bw_expert::policy::sample::Moment;
 use bw_expert::policy::sample::Sampler;
 
 /// Counts of a rank: `total` choices, a part of them of one expert, on top of `before`.
@@ -15,9 +16,9 @@
     let mut sampler = Sampler::new(1, 8);
     let past = add(&[0; 8], 0, 1_000_000);
     sampler.take(3, 1, &past);
-    assert!(!sampler.settle());
+    assert!(!sampler.settle(Moment::Steady));
     sampler.take(3, 1, &add(&past, 5, 10_000));
-    assert!(sampler.settle());
+    assert!(sampler.settle(Moment::Steady));
     let demand = &sampler.demand().unwrap()[0];
     assert!(demand[5] > 0.5 && demand[0] < 0.1, "{demand:?}");
 }
@@ -30,7 +31,7 @@
     for hot in [2, 2, 2, 6] {
         counts = add(&counts, hot, 20_000);
         sampler.take(0, 1, &counts);
-        assert!(sampler.settle());
+        assert!(sampler.settle(Moment::Steady));
     }
     let demand = &sampler.demand().unwrap()[0];
     assert!(demand[6] > 0.4 && demand[2] < 0.2, "{demand:?}");
@@ -41,10 +42,10 @@
     let mut sampler = Sampler::new(1, 4);
     sampler.take(0, 1, &[100_000, 0, 0, 0]);
     sampler.take(0, 2, &[10, 5_000, 0, 0]);
-    assert!(!sampler.settle(), "a new life begins its counts anew");
+    assert!(!sampler.settle(Moment::Steady), "a new life begins its counts anew");
     sampler.take(0, 2, &[10, 5_000]);
     sampler.take(0, 2, &[10, 15_000, 0, 0]);
-    assert!(sampler.settle());
+    assert!(sampler.settle(Moment::Steady));
     assert_eq!(sampler.demand().unwrap()[0], vec![0.0, 1.0, 0.0, 0.0]);
 }
 
@@ -53,5 +54,5 @@
     let mut sampler = Sampler::new(1, 4);
     sampler.take(0, 1, &[0; 4]);
     sampler.take(0, 1, &[10, 20, 30, 40]);
-    assert!(!sampler.settle());
+    assert!(!sampler.settle(Moment::Steady));
 }
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -15,6 +15,9 @@
 use bw_direct::endpoint::Slot;
 use bw_direct::endpoint::Standing;
 use bw_direct::endpoint::Table;
+use bw_direct::health::Counts;
+use bw_direct::health::Health;
+use bw_direct::health::Verdict;
 use bw_direct::load::Loads;
 use bw_direct::load::Work;
 use bw_direct::peers::PaceNews;
@@ -27,7 +30,6 @@
 use bw_http::Channel;
 use bw_model::hash::rendezvous_weight;
 use bw_model::Key;
-use bw_route::eject::Ejection;
 use log::info;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -51,7 +53,6 @@
 /// What is kept for each endpoint beside the table.
 #[derive(Default)]
 struct Side {
-    ejection: Ejection,
     idle: Vec<Idle>,
     hash: u64,
 }
@@ -59,6 +60,7 @@
 struct State {
     table: Table,
     loads: Loads,
+    health: Health,
     sides: Vec<Side>,
     hashes: HashMap<u64, EndpointKey>,
     random: SmallRng,
@@ -132,6 +134,7 @@
         let state = State {
             table: Table::new(),
             loads: Loads::default(),
+            health: Health::default(),
             sides: Vec::new(),
             hashes: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
@@ -317,13 +320,27 @@
     }
 
     /// Notes a whole answer.
-    pub fn succeed(&self, key: EndpointKey) {
-        self.lock().sides[key.index()].ejection.succeed();
+    pub fn succeed(&self, key: EndpointKey, now: Duration) {
+        self.lock().health.succeed(key, now);
     }
 
     /// Notes a failure that speaks against the endpoint.
     pub fn fail(&self, key: EndpointKey, now: Duration) {
-        self.lock().sides[key.index()].ejection.fail(now);
+        let mut state = self.lock();
+        state.health.fail(key, now);
+        let service = state.table.get(key).map(|slot| slot.endpoint.service.clone());
+        if let Some(service) = service {
+            state.judge(&service, now);
+        }
+    }
+
+    /// Judges all endpoints by the counts of all gateways.
+    pub fn judge_all(&self, now: Duration) {
+        let mut state = self.lock();
+        let services: Vec<String> = state.table.services().map(str::to_string).collect();
+        for service in services {
+            state.judge(&service, now);
+        }
     }
 
     /// Takes an endpoint out of use because it is another one or leaving.
@@ -371,24 +388,37 @@
     }
 
     /// Own work, for the news to peers.
-    pub fn news(&self) -> Vec<WorkNews> {
+    pub fn news(&self, now: Duration) -> Vec<WorkNews> {
         let state = self.lock();
-        let news = |(index, work): (usize, Work)| WorkNews {
+        let mut news: BTreeMap<usize, (Work, Counts)> = BTreeMap::new();
+        for (index, work) in state.loads.own() {
+            news.entry(index).or_default().0 = work;
+        }
+        for (index, counts) in state.health.own(now) {
+            news.entry(index).or_default().1 = counts;
+        }
+        let news = news.into_iter().map(|(index, (work, counts))| WorkNews {
             endpoint: state.sides[index].hash,
             requests: work.requests,
             prompt: work.prompt,
-        };
-        state.loads.own().map(news).collect()
+            ended: counts.ended,
+            failed: counts.failed,
+        });
+        news.collect()
     }
 
     /// Takes a peer's work.
     pub fn hear(&self, peer: &str, works: &[WorkNews], now: Duration) {
         let mut state = self.lock();
-        let known = works
+        let state = &mut *state;
+        let known: Vec<(EndpointKey, &WorkNews)> = works
             .iter()
-            .filter_map(|news| Some((*state.hashes.get(&news.endpoint)?, news.work())))
+            .filter_map(|news| Some((*state.hashes.get(&news.endpoint)?, news)))
             .collect();
-        state.loads.hear(peer, known, now);
+        let works = known.iter().map(|(key, news)| (*key, news.work())).collect();
+        state.loads.hear(peer, works, now);
+        let counts = known.iter().map(|(key, news)| (*key, news.counts())).collect();
+        state.health.hear(peer, counts, now);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -412,7 +442,7 @@
             Noted::Same => return,
             Noted::Restarted => {
                 side.idle.clear();
-                side.ejection.restart(now);
+                self.health.restart(key);
             }
             Noted::Removed => side.idle.clear(),
             Noted::Added | Noted::Changed | Noted::Lapsed => {}
@@ -452,11 +482,11 @@
                 own: self.loads.own_at(*key).requests,
                 homes,
                 far: self.table.get(*key).is_some_and(|slot| slot.endpoint.centre != centre),
-                slowness: self.sides[key.index()].ejection.load_factor(now) * self.pace(*key, now),
+                slowness: self.pace(*key, now),
             })
             .collect();
         let healthy: Vec<Candidate> =
-            candidates.iter().copied().filter(|one| !self.is_ejected(one.key, now)).collect();
+            candidates.iter().copied().filter(|one| self.may_get_work(one, now)).collect();
         if healthy.len() * 2 >= candidates.len() {
             healthy
         } else {
@@ -464,6 +494,28 @@
         }
     }
 
+    fn may_get_work(&self, candidate: &Candidate, now: Duration) -> bool {
+        match self.health.verdict(candidate.key, now) {
+            Verdict::Sound => true,
+            Verdict::Trial => candidate.own == 0,
+            Verdict::Ejected => false,
+        }
+    }
+
+    /// Leaves out the endpoints of a service that fail more than the others.
+    fn judge(&mut self, service: &str, now: Duration) {
+        let keys: Vec<EndpointKey> = self.table.usable(service, now).collect();
+        for (key, counts) in self.health.judge(&keys, now) {
+            let name = self.table.get(key).map_or("", |slot| &slot.endpoint.name);
+            info!(
+                "event=endpoint_ejected endpoint={name} failed={} ended={} at_ms={}",
+                counts.failed,
+                counts.ended,
+                now.as_millis()
+            );
+        }
+    }
+
     /// Factor by which an endpoint is slower than it should be.
     fn pace(&self, key: EndpointKey, now: Duration) -> f64 {
         let (told, paces) = &self.told_paces;
@@ -475,8 +527,4 @@
     fn slots(&self, key: EndpointKey) -> u32 {
         self.table.get(key).map_or(0, |slot| slot.endpoint.slots)
     }
-
-    fn is_ejected(&self, key: EndpointKey, now: Duration) -> bool {
-        self.sides.get(key.index()).is_some_and(|side| side.ejection.is_ejected(now))
-    }
 }
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -85,11 +85,13 @@
     pub end: SendEnd,
     /// What happened.
     pub reason: String,
+    /// Whether another endpoint had the address.
+    misdirected: bool,
 }
 
 impl Failure {
     fn new(end: SendEnd, reason: impl Into<String>) -> Self {
-        Self { end, reason: reason.into() }
+        Self { end, reason: reason.into(), misdirected: false }
     }
 }
 
@@ -122,7 +124,8 @@
             }
             Err(failure) => {
                 job.note_send(&placed, Err((failure.end, &failure.reason)), took);
-                if failure.end == SendEnd::MayHaveRun {
+                // Nothing speaks against an endpoint that is another one by now.
+                if !failure.misdirected {
                     self.endpoints.fail(key, self.clock.now());
                 }
                 Err(failure.end)
@@ -165,10 +168,7 @@
         }
         match Channel::connect(placed.chosen.address, ENDPOINT_LIVENESS).await {
             Ok(channel) => Ok(channel),
-            Err(error) => {
-                self.endpoints.fail(key, self.clock.now());
-                Err(Failure::new(SendEnd::NotSent, error.to_string()))
-            }
+            Err(error) => Err(Failure::new(SendEnd::NotSent, error.to_string())),
         }
     }
 
@@ -199,7 +199,11 @@
         let collected = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
         let collected =
             collected.map_err(|error| Failure::new(SendEnd::MayHaveRun, error.to_string()))?;
-        self.endpoints.succeed(placed.chosen.key);
+        if parts.status.is_server_error() {
+            self.endpoints.fail(placed.chosen.key, self.clock.now());
+        } else {
+            self.endpoints.succeed(placed.chosen.key, self.clock.now());
+        }
         Ok(Response::Whole(Whole { parts, body: collected.to_bytes() }))
     }
 
@@ -209,10 +213,12 @@
         let other = reply.attempt.is_some() && !own;
         let not_run = reply.not_run || reply.status == MISDIRECTED;
         if not_run && !other {
-            if reply.status == MISDIRECTED {
+            let misdirected = reply.status == MISDIRECTED;
+            if misdirected {
                 self.endpoints.bar(placed.chosen.key);
             }
-            return Err(Failure::new(SendEnd::NotRun, format!("status {}", reply.status)));
+            let reason = format!("status {}", reply.status);
+            return Err(Failure { end: SendEnd::NotRun, reason, misdirected });
         }
         if !own {
             return Err(Failure::new(SendEnd::MayHaveRun, "answer to another attempt"));
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -33,6 +33,8 @@
     last: Option<u64>,
     /// When it was.
     passed: Duration,
+    /// Longest time between two events.
+    longest: Duration,
     events: u32,
 }
 
@@ -55,7 +57,15 @@
         let headers = reply_headers(&started.opened.parts);
         let (sender, receiver) = mpsc::channel(PIECES_MAX);
         let (last, passed) = (job.head.last_event, self.clock.now());
-        let stream = Stream { forwarder: self.clone(), job, sender, last, passed, events: 0 };
+        let stream = Stream {
+            forwarder: self.clone(),
+            job,
+            sender,
+            last,
+            passed,
+            longest: Duration::ZERO,
+            events: 0,
+        };
         tokio::spawn(stream.run(started));
         answer(status.as_u16(), headers, ReplyBody::Events(receiver))
     }
@@ -90,12 +100,13 @@
         let now = self.forwarder.clock.now();
         info!(
             "event=stream_end request={} result={result} events={} last={} sends=[{}] first_ms={} \
-             took_ms={}",
+             pause_ms={} took_ms={}",
             self.job.head.attempt,
             self.events,
             self.last.map_or(-1, |last| last as i64),
             self.job.trace.trim_end(),
             first.saturating_sub(self.job.arrived).as_millis(),
+            self.longest.as_millis(),
             now.saturating_sub(self.job.arrived).as_millis()
         );
     }
@@ -135,7 +146,7 @@
                 }
                 Ok(None) if buffer.is_empty() => {
                     let forwarder = &self.forwarder;
-                    forwarder.endpoints.succeed(opened.placed.chosen.key);
+                    forwarder.endpoints.succeed(opened.placed.chosen.key, forwarder.clock.now());
                     forwarder.keep_channel(&opened.placed, &opened.reply, opened.channel);
                     return PartEnd::Complete;
                 }
@@ -154,7 +165,9 @@
     async fn give(&mut self, events: Events) -> bool {
         self.last = events.last.or(self.last);
         self.events += events.count;
-        self.passed = self.forwarder.clock.now();
+        let now = self.forwarder.clock.now();
+        self.longest = self.longest.max(now.saturating_sub(self.passed));
+        self.passed = now;
         self.sender.send(Ok(events.bytes)).await.is_ok()
     }
 
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -278,8 +278,9 @@
     async fn tell(&self, socket: &UdpSocket, round: u64) {
         let now = self.clock.now();
         self.follow_seat(now);
+        self.endpoints.judge_all(now);
         let naming = round % NAMING_ROUNDS == 0;
-        let works = self.endpoints.news();
+        let works = self.endpoints.news(now);
         let paces = self.endpoints.pace_news();
         let proof = self.config.proof_age(now).map(|age| age.as_millis() as u32);
         let (news, targets) = {
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -22,6 +22,7 @@
 use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::RankExperts;
 use bw_expert::policy::replicas::Room;
+use bw_expert::policy::sample::Moment;
 use bw_expert::policy::sample::Sampler;
 use bw_http::Client;
 use bw_kernel::BootClock;
@@ -54,12 +55,18 @@
 const SAMPLE_EVERY: Duration = Duration::from_millis(1_000);
 /// Time between the two readings that show the new demand after steps have become longer.
 const SAMPLE_SHIFT: Duration = Duration::from_millis(150);
+/// Time after those to the one that shows it better.
+const SAMPLE_REFINE: Duration = Duration::from_millis(400);
+/// Part of the ranks that are read after a shift: one in so many.
+const SHIFT_RANKS_PART: usize = 18;
+/// Most ranks that are read then.
+const SHIFT_RANKS_MAX: usize = 6;
 /// Time between two readings of all ranks' reports.
 const LOOK_EVERY: Duration = Duration::from_millis(1_500);
 /// Pace from which a rank counts as slow.
 const SLOW_PACE: f64 = 1.15;
-/// Time after steps have become longer before that can happen again.
-const JUMP_PAUSE: Duration = Duration::from_millis(700);
+/// Time after counts were read or a switch was begun in which longer steps mean no shift.
+const JUMP_CALM: Duration = Duration::from_millis(350);
 /// Time in which a rank answers an order.
 const ORDER_LIMIT: Duration = Duration::from_millis(150);
 /// Time in which a rank answers a reading.
@@ -120,6 +127,28 @@
     Rebase,
     /// To learn the demand after the shift.
     Shifted,
+    /// To learn it better.
+    Refining,
+}
+
+impl Sampling {
+    /// What the counts that have come mean for the estimate; `None` while they only mark a start.
+    fn moment(self) -> Option<Moment> {
+        match self {
+            Self::Steady => Some(Moment::Steady),
+            Self::Rebase => None,
+            Self::Shifted => Some(Moment::Shift),
+            Self::Refining => Some(Moment::Refine),
+        }
+    }
+
+    /// What the counts after those are for.
+    fn next(self) -> Self {
+        match self {
+            Self::Shifted => Self::Refining,
+            Self::Steady | Self::Rebase | Self::Refining => Self::Steady,
+        }
+    }
 }
 
 /// A call to a rank that is on its way.
@@ -140,8 +169,6 @@
     pause: Duration,
     /// What the next counts are for.
     sampling: Sampling,
-    /// When steps last became longer.
-    jumped: Duration,
     /// Map in use, once it is known.
     map: Option<Vec<Placement>>,
     /// Map that is being switched to.
@@ -309,13 +336,15 @@
                     match group.sampling {
                         Sampling::Rebase => {
                             group.sampler.rebase(rank, counts.epoch, &counts.counts);
-                            group.sampling = Sampling::Shifted;
                         }
-                        Sampling::Steady | Sampling::Shifted => {
+                        Sampling::Steady | Sampling::Shifted | Sampling::Refining => {
                             group.sampler.take(rank, counts.epoch, &counts.counts);
                         }
                     }
                 }
+                if group.counting == 0 && group.sampling == Sampling::Rebase {
+                    group.sampling = Sampling::Shifted;
+                }
             }
             Event::Planned(name, plan) => {
                 if let Some(group) = groups.get_mut(&name) {
@@ -399,11 +428,15 @@
             }
             return;
         }
-        if group.counting == 0 && group.sampler.settle() {
-            group.sampling = Sampling::Steady;
-            calls.extend(self.begin_plan(group, now));
+        if group.counting == 0 && group.driver.phase() == Phase::Idle {
+            if let Some(moment) = group.sampling.moment() {
+                if group.sampler.settle(moment) {
+                    group.sampling = group.sampling.next();
+                    calls.extend(self.begin_plan(group, now));
+                }
+            }
         }
-        if group.driver.phase() != Phase::Idle {
+        if group.driver.phase() != Phase::Idle || group.planning {
             return;
         }
         if group.pending == 0 && now.saturating_sub(group.looked) >= LOOK_EVERY {
@@ -412,20 +445,28 @@
         }
         let steps = self.endpoints.steps(&group.view.name);
         let since = now.saturating_sub(group.sampled);
-        let jumped = steps.has_jumped(now) && now.saturating_sub(group.jumped) >= JUMP_PAUSE;
+        // Reading counts and copying experts make steps longer, too.
+        let calm = since >= JUMP_CALM && now.saturating_sub(group.switched) >= JUMP_CALM;
+        let jumped = calm && steps.has_jumped(now);
         let due = match group.sampling {
             _ if group.counting > 0 => false,
             Sampling::Steady if jumped => {
-                group.jumped = now;
                 group.sampling = Sampling::Rebase;
                 true
             }
             Sampling::Steady => since >= SAMPLE_EVERY,
+            // An idle group shows nothing, however often it is asked.
+            _ if steps.present(now).is_none() => since >= SAMPLE_EVERY,
             Sampling::Rebase | Sampling::Shifted => since >= SAMPLE_SHIFT,
+            Sampling::Refining => since >= SAMPLE_REFINE,
         };
         if due {
             group.sampled = now;
-            if let Some((rank, address)) = group.view.addresses().first().copied() {
+            let ranks = match group.sampling {
+                Sampling::Steady => 1,
+                _ => (group.view.ranks.len() / SHIFT_RANKS_PART).clamp(1, SHIFT_RANKS_MAX),
+            };
+            for (rank, address) in group.view.addresses().into_iter().take(ranks) {
                 group.counting += 1;
                 let name = group.view.name.clone();
                 calls.push(Box::pin(read_counts(client.clone(), name, rank, address)));
@@ -446,6 +487,12 @@
         Some(Box::pin(make_plan(name, map, demand, paces, room)))
     }
 
+    /// Present length of the group's steps in milliseconds; 0 when no stream shows it.
+    fn step_millis(&self, group: &Group, now: Duration) -> u128 {
+        let present = self.endpoints.steps(&group.view.name).present(now);
+        present.unwrap_or_default().as_millis()
+    }
+
     /// Gain for which a switch is made: the longer the steps, the less.
     fn gain_min(&self, group: &Group, now: Duration) -> f64 {
         let present = self.endpoints.steps(&group.view.name).present(now);
@@ -470,8 +517,12 @@
         let version = MapVersion(group.driver.fence().0.max(group.driver.version().0 + 1));
         info!(
             "event=place group={} version={version} skew_before={:.3} skew_after={:.3} \
-             received={received} step={}",
-            group.view.name, plan.skew_before, plan.skew_after, group.step.0
+             received={received} step={} step_ms={}",
+            group.view.name,
+            plan.skew_before,
+            plan.skew_after,
+            group.step.0,
+            self.step_millis(group, now)
         );
         group.next = Some(plan.next);
         group.switched = now;
@@ -547,7 +598,6 @@
             looked: now,
             pause: Duration::ZERO,
             sampling: Sampling::Rebase,
-            jumped: Duration::ZERO,
             view,
             driver,
             map: None,
