Let keys outlast an outage of the store for as long as the bound allows

Cause: proofs were up to 3 s old when the outage began (two watches of 1.5 s), and were given up at 4 s. A request is checked after its caller has sent it, so that the whole bound may be used. Change: watches wait a fifth of the bound at most; proofs hold for 0.97 of it.

--- a/crates/bw-gateway/src/reload.rs
+++ b/crates/bw-gateway/src/reload.rs
@@ -19,9 +19,9 @@
 
 /// Time between two looks at the settings file, which may change without a signal.
 const LOOK_EVERY: Duration = Duration::from_secs(2);
-/// Part of the time after which a revoked key opens nothing that a proof's age may reach; the rest
-/// covers a request that is on its way to an endpoint.
-const PROOF_PART: f64 = 0.8;
+/// Part of the time after which a revoked key opens nothing that a proof's age may reach. A request
+/// is checked after its caller has sent it, so that the rest only covers rounding.
+const PROOF_PART: f64 = 0.97;
 
 /// The settings in force.
 #[derive(Clone, Debug)]
--- a/crates/bw-gateway/src/sync/mod.rs
+++ b/crates/bw-gateway/src/sync/mod.rs
@@ -27,7 +27,10 @@
 /// Part of the time in which a configuration has to be in force for which a watch of the store
 /// waits; with the pause after it, it bounds the age of proofs.
 const WAIT_PART: f64 = 0.5;
-/// Part of that time after which a gateway that the store does not answer is passed over.
+/// Part of the time after which a revoked key opens nothing for which a watch waits at most. A proof
+/// gets twice as old, and what is left is how long keys outlast an outage of the store.
+const PROOF_WAIT_PART: f64 = 0.2;
+/// Part of the first time after which a gateway that the store does not answer is passed over.
 const BLIND_PART: f64 = 0.7;
 /// Time for which a watch of a peer waits; its proofs come with its news.
 const PEER_WAIT: Duration = Duration::from_millis(4_000);
@@ -101,7 +104,8 @@
     /// Time for which a watch waits.
     fn wait(&self, upstream: &Upstream) -> Duration {
         if upstream.feed.is_store() {
-            self.settings.get().apply.mul_f64(WAIT_PART)
+            let settings = self.settings.get();
+            settings.apply.mul_f64(WAIT_PART).min(settings.revoke.mul_f64(PROOF_WAIT_PART))
         } else {
             PEER_WAIT
         }
