Test the gateway before stand-ins; refuse at once what every endpoint has turned away

Cause: a new test shows that a request which all endpoints had turned away waited for another one until its time was over (8 s), since excluded endpoints counted as such that may serve it. Change: it is refused at once with a time to come back. The platform's formats get their other side (stand_in) for a scripted endpoint in bw-fake: resets, cut and crossed answers, bytes after the end, broken and silent streams. The gateway is put together in its library, so that tests run it in their own process. The time in which a leaving gateway takes connections is a setting.

--- a/crates/bw-fake/src/lib.rs
+++ b/crates/bw-fake/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins of the outside systems, for tests and the demo only.
 
 pub mod control;
+pub mod endpoint;
 pub mod engine;
 pub mod objects;
 pub mod platform;
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -280,10 +280,10 @@
         })
     }
 
-    /// Whether a service has endpoints, even if none takes requests now.
-    pub fn serves(&self, service: &str, now: Duration) -> bool {
+    /// Whether a service has endpoints that are not excluded, even if none takes requests now.
+    pub fn serves(&self, service: &str, exclude: &[EndpointKey], now: Duration) -> bool {
         let state = self.lock();
-        let serves = state.table.listed(service, now).next().is_some();
+        let serves = state.table.listed(service, now).any(|key| !exclude.contains(&key));
         serves
     }
 
--- a/crates/bw-gateway/src/frontend.rs
+++ b/crates/bw-gateway/src/frontend.rs
@@ -24,9 +24,6 @@
 const READ_BYTES_MAX: usize = 65_536;
 /// Pause after an accept error such as too many open files.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Time after the start of a stop in which new connections are still taken, since callers keep
-/// addresses for a while.
-const LINGER: Duration = Duration::from_millis(2_500);
 /// How vanished callers are found.
 const CALLER_LIVENESS: Liveness = Liveness {
     connect: Duration::from_millis(1_000),
@@ -44,16 +41,15 @@
     mut stop: Stop,
 ) -> Result<(), Infallible> {
     let graceful = GracefulShutdown::new();
-    let mut linger: Option<tokio::time::Instant> = None;
+    let leave = async {
+        stop.wait().await;
+        tokio::time::sleep(forwarder.settings.get().linger).await;
+    };
+    tokio::pin!(leave);
     loop {
-        let until = linger.unwrap_or_else(|| tokio::time::Instant::now() + LINGER);
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = stop.wait(), if linger.is_none() => {
-                linger = Some(tokio::time::Instant::now() + LINGER);
-                continue;
-            }
-            () = tokio::time::sleep_until(until), if linger.is_some() => break,
+            () = &mut leave => break,
         };
         match accepted {
             Ok((stream, _)) => serve_caller(stream, forwarder.clone(), &graceful),
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -1,5 +1,6 @@
 //! The gateway: takes callers' requests to endpoints that are reached over HTTP directly.
 
+pub mod app;
 pub mod config;
 pub mod endpoints;
 pub mod error;
--- a/crates/bw-gateway/src/settings.rs
+++ b/crates/bw-gateway/src/settings.rs
@@ -39,6 +39,8 @@
     pub descriptors: u64,
     /// Time from SIGTERM until the process is killed.
     pub grace: Duration,
+    /// Time after SIGTERM in which new connections are still taken, since callers keep addresses.
+    pub linger: Duration,
     /// Time after which a leaving endpoint gets no new work.
     pub drain: Duration,
     /// Time in which an accepted configuration has to be in force.
@@ -92,6 +94,7 @@
         let memory = section.ranged("memory-mb", (16, 1_048_576), 256, &mut faults);
         let descriptors = section.ranged("descriptors", (256, 1_048_576), 4_096, &mut faults);
         let grace = section.ranged("grace-s", (0.0, 3_600.0), 8.0, &mut faults);
+        let linger = section.millis("linger-ms", (0, MINUTE), 2_500, &mut faults);
         let drain = section.millis("drain-ms", (0, MINUTE), 2_000, &mut faults);
         let apply = section.millis("config-apply-ms", (100, MINUTE), 2_000, &mut faults);
         let revoke = section.millis("revoke-ms", (100, MINUTE), 5_000, &mut faults);
@@ -129,6 +132,7 @@
             memory,
             descriptors,
             grace: Duration::from_secs_f64(grace),
+            linger,
             drain,
             apply,
             revoke,
--- a/crates/bw-gateway/src/waiting.rs
+++ b/crates/bw-gateway/src/waiting.rs
@@ -135,7 +135,7 @@
                 return Ok(placed);
             }
         }
-        if !self.endpoints.serves(&ask.service, arrived) {
+        if !self.endpoints.serves(&ask.service, &ask.exclude, arrived) {
             return Err(TurnedAway(spread(RETRY_AFTER_MIN)));
         }
         let (service, workspace, deadline) = (ask.service.clone(), ask.workspace, ask.deadline);
--- /dev/null
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -0,0 +1,236 @@
+//! A gateway in this process before stand-ins of the store and of endpoints.
+
+// Each test file uses some of this.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bw_adapter::stand_in::config::config_object;
+use bw_adapter::stand_in::endpoint::listing_object;
+use bw_direct::catalog::Draft;
+use bw_direct::catalog::Limits;
+use bw_direct::catalog::Route;
+use bw_direct::catalog::RouteKind;
+use bw_direct::catalog::Service;
+use bw_direct::catalog::Target;
+use bw_direct::catalog::Workspace;
+use bw_direct::endpoint::Endpoint;
+use bw_direct::endpoint::Phase;
+use bw_fake::endpoint::Act;
+use bw_fake::endpoint::FakeEndpoint;
+use bw_fake::platform::Platform;
+use bw_gateway::app;
+use bw_gateway::Settings;
+use bw_http::Channel;
+use bw_http::Liveness;
+use bw_kernel::Kernel;
+use bw_kernel::Stop;
+use bw_model::Version;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::Request;
+use hyper::Response;
+use tokio::sync::watch;
+
+pub const HOST: &str = "shop.example";
+pub const KEY: &str = "key-of-orders";
+pub const SERVICE: &str = "tools";
+
+/// A reply as the caller sees it.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub retry_after: Option<String>,
+    /// The whole body, or `None` when it broke off.
+    pub body: Option<String>,
+}
+
+pub struct Rig {
+    pub platform: Platform,
+    pub endpoints: Vec<FakeEndpoint>,
+    pub settings: Settings,
+    pub kernel: Kernel,
+    store: watch::Sender<bool>,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn route(name: &str, kind: RouteKind) -> Route {
+    Route {
+        name: name.to_string(),
+        host: HOST.to_string(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: Duration::from_secs(10),
+        target: Duration::from_secs(2),
+        pause: None,
+        priority: 1,
+        targets: [Target { service: SERVICE.to_string(), weight: 1 }].into_iter().collect(),
+        attempts: 2,
+        public: false,
+        sessions: false,
+        resumable: kind == RouteKind::Streaming,
+    }
+}
+
+pub fn draft(version: u64) -> Draft {
+    let order = Route { attempts: 1, ..route("order", RouteKind::Unsafe) };
+    Draft {
+        version: Version(version),
+        routes: vec![route("status", RouteKind::Safe), order, route("chat", RouteKind::Streaming)],
+        services: vec![Service {
+            name: SERVICE.to_string(),
+            health: "/health".to_string(),
+            connections: 100,
+            engine: None,
+        }],
+        limits: Limits {
+            head: 16_384,
+            body: 65_536,
+            time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        },
+        workspaces: Some(vec![Workspace {
+            name: "orders".to_string(),
+            keys: vec![KEY.to_string()],
+            priority: 1,
+        }]),
+    }
+}
+
+pub fn listing(endpoint: &FakeEndpoint) -> Endpoint {
+    Endpoint {
+        name: endpoint.name.clone(),
+        service: SERVICE.to_string(),
+        address: endpoint.address,
+        centre: "a".to_string(),
+        slots: 4,
+        phase: Phase::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+        member: None,
+    }
+}
+
+pub fn settings(instance: &str, platform: SocketAddr) -> Settings {
+    Settings {
+        instance: instance.parse().unwrap(),
+        centre: "a".parse().unwrap(),
+        region: "r".parse().unwrap(),
+        callers: loopback(),
+        ready: loopback(),
+        directory: None,
+        news: loopback(),
+        seeds: Vec::new(),
+        platform: format!("http://{platform}"),
+        rate: 1_000.0,
+        memory: 256,
+        descriptors: 4_096,
+        grace: Duration::from_secs(8),
+        linger: Duration::ZERO,
+        drain: Duration::from_secs(2),
+        apply: Duration::from_secs(2),
+        revoke: Duration::from_secs(5),
+        contact: Duration::from_secs(3),
+        ratio: 0.2,
+        slack: 100.0,
+        window: Duration::from_secs(10),
+        lifetime: Duration::from_secs(2),
+        log: "off".to_string(),
+    }
+}
+
+impl Rig {
+    /// A gateway before endpoints that treat requests so.
+    pub async fn start(usual: &[Act]) -> Self {
+        Self::start_with(usual, draft(1)).await
+    }
+
+    pub async fn start_with(usual: &[Act], draft: Draft) -> Self {
+        let platform = Platform::new(1e6);
+        let listener = bw_http::bind(loopback()).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (store, stop) = Stop::pair();
+        tokio::spawn(bw_http::serve(listener, platform.routes(), stop));
+        let mut endpoints = Vec::new();
+        for (number, act) in usual.iter().enumerate() {
+            let endpoint = FakeEndpoint::start(&format!("e-{number}"), act.clone()).await.unwrap();
+            let object = listing_object(&listing(&endpoint));
+            platform.change(|objects| objects.create(object)).unwrap();
+            endpoints.push(endpoint);
+        }
+        platform.change(|objects| objects.create(config_object(&draft))).unwrap();
+        let mut settings = settings("gateway-1", address);
+        let sockets = app::Sockets::bind(&mut settings).await.unwrap();
+        let mut kernel = Kernel::new();
+        app::start(&mut kernel, settings.clone(), sockets, None).unwrap();
+        let rig = Self { platform, endpoints, settings, kernel, store };
+        rig.wait_ready().await;
+        rig
+    }
+
+    /// Waits until the gateway says that it is ready.
+    pub async fn wait_ready(&self) {
+        let client = bw_http::Client::new();
+        let url = format!("http://{}{}", self.settings.ready, bw_adapter::directory::READY_PATH);
+        loop {
+            if let Ok(reply) = client.get(&url, Duration::from_secs(5)).await {
+                if reply.status == 200 {
+                    return;
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    /// Replaces the configuration.
+    pub fn configure(&self, draft: &Draft) {
+        self.platform.change(|objects| objects.replace(config_object(draft))).unwrap();
+    }
+
+    /// Opens a connection of a caller.
+    pub async fn connect(&self) -> Channel {
+        let liveness = Liveness {
+            connect: Duration::from_secs(5),
+            unacknowledged: Duration::from_secs(10),
+            probe: Duration::from_secs(10),
+        };
+        Channel::connect(self.settings.callers, liveness).await.unwrap()
+    }
+
+    /// Sends one request on a connection of its own and reads the whole reply.
+    pub async fn call(&self, method: &str, path: &str, body: &str) -> Reply {
+        let mut channel = self.connect().await;
+        let response = channel.send(request(method, path, body, "a-1")).await.unwrap();
+        read_reply(response).await
+    }
+
+    /// Stops the gateway as SIGTERM does.
+    pub async fn stop(self) {
+        self.kernel.stop(Duration::from_secs(8), None).await.unwrap();
+        drop(self.store);
+    }
+}
+
+/// A caller's request.
+pub fn request(method: &str, path: &str, body: &str, attempt: &str) -> Request<Full<Bytes>> {
+    let request = Request::builder().method(method).uri(path).header("host", HOST);
+    let request = bw_adapter::stand_in::endpoint::caller_headers(attempt, KEY, 8_000)
+        .into_iter()
+        .fold(request, |request, (name, value)| request.header(name, value));
+    request.body(Full::from(Bytes::from(body.to_string()))).unwrap()
+}
+
+pub async fn read_reply(response: Response<Incoming>) -> Reply {
+    let status = response.status().as_u16();
+    let after = response.headers().get("retry-after");
+    let retry_after = after.map(|value| value.to_str().unwrap().to_string());
+    let body = response.into_body().collect().await.ok();
+    let body = body.map(|body| String::from_utf8(body.to_bytes().to_vec()).unwrap());
+    Reply { status, retry_after, body }
+}
--- /dev/null
+++ b/crates/bw-gateway/tests/once.rs
@@ -0,0 +1,185 @@
+//! Requests are answered whole and run no more often than they may.
+
+mod common;
+
+use bw_fake::endpoint::event_text;
+use bw_fake::endpoint::Act;
+use common::request;
+use common::Rig;
+use http_body_util::BodyExt;
+
+fn fine() -> Act {
+    Act::Answer(200, "fine".to_string())
+}
+
+/// Ways in which an endpoint may fail after a request has run there.
+fn failures() -> Vec<Act> {
+    let body = || "half of this is not the whole of it".to_string();
+    vec![Act::Reset, Act::Unended(body()), Act::Truncated(body()), Act::Foreign(body())]
+}
+
+#[tokio::test]
+async fn an_idempotent_request_gets_a_whole_answer_from_another_endpoint() {
+    for failure in failures() {
+        let rig = Rig::start(&[fine(), fine()]).await;
+        for endpoint in &rig.endpoints {
+            endpoint.script(failure.clone());
+        }
+        // Only one of the endpoints plays its script before the other answers.
+        let reply = rig.call("GET", "/status/1", "").await;
+        let runs: usize = rig.endpoints.iter().map(|endpoint| endpoint.seen().runs.len()).sum();
+        assert!(runs <= 2, "{failure:?}: {runs} runs");
+        assert_ne!(reply.body.as_deref(), Some("half of this is not the whole of it"));
+        assert!([200, 502].contains(&reply.status), "{failure:?}: {reply:?}");
+        rig.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_may_have_run_is_not_sent_again_and_not_called_unrun() {
+    for failure in failures() {
+        let rig = Rig::start(&[failure.clone(), failure.clone()]).await;
+        let reply = rig.call("POST", "/order/1", "press it").await;
+        let runs: usize = rig.endpoints.iter().map(|endpoint| endpoint.seen().runs.len()).sum();
+        assert_eq!(runs, 1, "{failure:?}");
+        assert_eq!(reply.status, 502, "{failure:?}");
+        assert_eq!(reply.retry_after, None, "{failure:?}");
+        rig.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_did_not_run_is_sent_to_another_endpoint() {
+    for turned_away in [Act::Shed, Act::Misdirect] {
+        let rig = Rig::start(&[turned_away.clone(), fine()]).await;
+        for number in 0..8 {
+            let reply = rig.call("POST", &format!("/order/{number}"), "press it").await;
+            assert_eq!((reply.status, reply.body.as_deref()), (200, Some("fine")));
+        }
+        assert!(rig.endpoints[0].seen().runs.is_empty());
+        assert_eq!(rig.endpoints[1].seen().runs.len(), 8);
+        rig.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_every_endpoint_turned_away_is_refused_with_a_time_to_come_back() {
+    let rig = Rig::start(&[Act::Shed, Act::Shed]).await;
+    let reply = rig.call("POST", "/order/1", "press it").await;
+    assert_eq!(reply.status, 503);
+    assert!(reply.retry_after.is_some());
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_second_answer_belongs_to_no_request() {
+    let rig = Rig::start(&[Act::Twice("one".to_string())]).await;
+    for number in 0..20 {
+        let reply = rig.call("GET", &format!("/status/{number}"), "").await;
+        assert_eq!((reply.status, reply.body.as_deref()), (200, Some("one")));
+    }
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn an_answer_without_a_length_is_whole_when_its_connection_ends() {
+    let rig = Rig::start(&[Act::Unframed("to the end".to_string())]).await;
+    let reply = rig.call("GET", "/status/1", "").await;
+    assert_eq!((reply.status, reply.body.as_deref()), (200, Some("to the end")));
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn an_endpoints_own_failure_is_delivered_where_the_request_may_not_run_again() {
+    let rig = Rig::start(&[Act::Answer(500, "no".to_string()), fine()]).await;
+    let mut delivered = 0;
+    for number in 0..6 {
+        let reply = rig.call("POST", &format!("/order/{number}"), "press it").await;
+        delivered += usize::from(reply.status == 500 && reply.body.as_deref() == Some("no"));
+    }
+    let runs: usize = rig.endpoints.iter().map(|endpoint| endpoint.seen().runs.len()).sum();
+    assert_eq!(runs, 6);
+    assert_eq!(delivered, rig.endpoints[0].seen().runs.len());
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn endpoints_are_told_the_workspace_and_the_life_that_is_meant_but_not_the_key() {
+    let rig = Rig::start(&[fine()]).await;
+    rig.call("POST", "/order/a%2fb?c=d", "press it").await;
+    let arrival = rig.endpoints[0].seen().arrivals[0].clone();
+    assert_eq!(arrival.path, "/order/a%2fb?c=d");
+    assert_eq!(arrival.attempt.as_deref(), Some("a-1"));
+    assert_eq!(arrival.workspace.as_deref(), Some("orders"));
+    assert_eq!(arrival.endpoint.as_deref(), Some("e-0"));
+    assert_eq!(arrival.key, None);
+    assert_eq!(arrival.length, "press it".len());
+    assert!(arrival.left.unwrap().as_millis() <= 8_000);
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_goes_on_at_another_endpoint_after_the_last_whole_event() {
+    let rig = Rig::start(&[Act::BrokenStream(3), Act::Stream(6)]).await;
+    let whole: String = (1..=6).map(event_text).collect();
+    while rig.endpoints[0].seen().runs.is_empty() {
+        let reply = rig.call("POST", "/chat/1", "tell me").await;
+        assert_eq!((reply.status, reply.body), (200, Some(whole.clone())));
+    }
+    let arrivals = rig.endpoints[1].seen().arrivals;
+    assert!(arrivals.iter().any(|arrival| arrival.last_event == Some(3)), "{arrivals:?}");
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_stream_that_cannot_go_on_does_not_look_complete() {
+    let rig = Rig::start(&[Act::BrokenStream(2), Act::BrokenStream(2)]).await;
+    let reply = rig.call("POST", "/chat/1", "tell me").await;
+    assert_eq!(reply.body, None);
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work_at_the_endpoint() {
+    for act in [Act::Hang, Act::SilentStream] {
+        let rig = Rig::start(&[act.clone()]).await;
+        let mut channel = rig.connect().await;
+        let path = if act == Act::Hang { "/order/1" } else { "/chat/1" };
+        let endpoint = &rig.endpoints[0];
+        tokio::select! {
+            response = channel.send(request("POST", path, "tell me", "a-1")) => {
+                // The first event has come, and nothing after it.
+                let mut body = response.unwrap().into_body();
+                assert!(body.frame().await.is_some());
+            }
+            () = endpoint.wait_for(|seen| seen.runs.len() == 1) => {}
+        }
+        drop(channel);
+        endpoint.wait_for(|seen| seen.abandoned == 1).await;
+        rig.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_waits_for_a_slot_is_not_sent_once_its_caller_has_left() {
+    let rig = Rig::start(&[Act::Hang]).await;
+    let mut waiting = Vec::new();
+    for _ in 0..4 {
+        let mut channel = rig.connect().await;
+        waiting.push(tokio::spawn(async move {
+            let _ = channel.send(request("POST", "/order/1", "", "a-1")).await;
+        }));
+    }
+    rig.endpoints[0].wait_for(|seen| seen.runs.len() == 4).await;
+    let mut late = rig.connect().await;
+    let left = tokio::time::timeout(
+        std::time::Duration::from_millis(200),
+        late.send(request("POST", "/order/2", "", "a-2")),
+    );
+    assert!(left.await.is_err(), "no slot is free");
+    drop(late);
+    waiting.iter().for_each(tokio::task::JoinHandle::abort);
+    rig.endpoints[0].wait_for(|seen| seen.abandoned == 4).await;
+    assert!(!rig.endpoints[0].seen().runs.contains(&"a-2".to_string()));
+    rig.stop().await;
+}
--- a/crates/bw-kernel/src/kernel.rs
+++ b/crates/bw-kernel/src/kernel.rs
@@ -111,6 +111,18 @@
     /// The first service error.
     pub async fn run(mut self, grace: Duration) -> Result<(), KernelError> {
         let failed = self.wait_end().await?;
+        self.stop(grace, failed).await
+    }
+
+    /// Stops all services in reverse order, as after SIGTERM.
+    ///
+    /// # Errors
+    /// `failed`, or the first service error.
+    pub async fn stop(
+        mut self,
+        grace: Duration,
+        failed: Option<KernelError>,
+    ) -> Result<(), KernelError> {
         let mut first = failed;
         let deadline = Instant::now() + grace;
         while let Some(service) = self.running.pop() {
