--- /dev/null
+++ b/crates/bw-direct/tests/attempts.rs
@@ -0,0 +1,87 @@
+//! Which requests are sent again, and what their callers are told.
+
+use std::time::Duration;
+
+use bw_direct::attempts::Attempts;
+use bw_direct::attempts::Next;
+use bw_direct::attempts::SendEnd;
+use bw_direct::catalog::Route;
+use bw_direct::catalog::RouteKind;
+use proptest::prelude::*;
+
+fn route(kind: RouteKind, resumable: bool, attempts: u32) -> Route {
+    Route {
+        name: "r".to_string(),
+        host: "h".to_string(),
+        prefix: "/".to_string(),
+        kind,
+        timeout: Duration::from_secs(1),
+        target: Duration::from_millis(100),
+        pause: None,
+        priority: 0,
+        targets: Default::default(),
+        attempts,
+        public: false,
+        sessions: false,
+        resumable,
+    }
+}
+
+#[test]
+fn only_what_surely_did_not_run_is_sent_again_when_it_may_run_once() {
+    for (kind, resumable) in [(RouteKind::Unsafe, false), (RouteKind::Streaming, false)] {
+        let first = |end| Attempts::new(&route(kind, resumable, 3)).note(end, true);
+        assert_eq!(first(SendEnd::NotSent), Next::Again);
+        assert_eq!(first(SendEnd::NotRun), Next::Again);
+        assert_eq!(first(SendEnd::MayHaveRun), Next::Unknown);
+        assert_eq!(first(SendEnd::Failed), Next::Deliver);
+    }
+}
+
+#[test]
+fn an_idempotent_request_may_run_as_often_as_its_route_allows() {
+    let mut attempts = Attempts::new(&route(RouteKind::Safe, false, 2));
+    assert_eq!(attempts.note(SendEnd::Failed, true), Next::Again);
+    assert_eq!(attempts.note(SendEnd::Failed, true), Next::Deliver);
+    let mut attempts = Attempts::new(&route(RouteKind::Streaming, true, 2));
+    assert_eq!(attempts.note(SendEnd::MayHaveRun, true), Next::Again);
+    assert_eq!(attempts.note(SendEnd::MayHaveRun, true), Next::Unknown);
+}
+
+fn any_end() -> impl Strategy<Value = SendEnd> {
+    prop_oneof![
+        Just(SendEnd::NotSent),
+        Just(SendEnd::NotRun),
+        Just(SendEnd::Failed),
+        Just(SendEnd::MayHaveRun),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn a_refusal_is_true_and_nothing_runs_too_often(
+        unsafe_kind in any::<bool>(),
+        limit in 1u32..4,
+        ends in proptest::collection::vec(any_end(), 1..12),
+        affordable in proptest::collection::vec(any::<bool>(), 12),
+    ) {
+        let kind = if unsafe_kind { RouteKind::Unsafe } else { RouteKind::Safe };
+        let mut attempts = Attempts::new(&route(kind, false, limit));
+        let mut ran = 0;
+        for (end, affordable) in ends.into_iter().zip(affordable) {
+            if matches!(end, SendEnd::Failed | SendEnd::MayHaveRun) {
+                ran += 1;
+            }
+            match attempts.note(end, affordable) {
+                Next::Again => prop_assert!(affordable && ran < limit && (!unsafe_kind || ran == 0)),
+                Next::Refuse => prop_assert_eq!(ran, 0),
+                Next::Deliver => prop_assert_eq!(end, SendEnd::Failed),
+                Next::Unknown => prop_assert!(ran > 0),
+            }
+            if !matches!(attempts.last(end), Next::Refuse) || ran > 0 {
+                prop_assert!(attempts.last(end) != Next::Refuse);
+            }
+        }
+        prop_assert!(ran <= 12);
+    }
+}
--- /dev/null
+++ b/crates/bw-direct/tests/place.rs
@@ -0,0 +1,142 @@
+//! Placing under many entries on late news, replayed from the load that showed the collisions.
+
+use bw_direct::endpoint::EndpointKey;
+use bw_direct::load::Work;
+use bw_direct::place::deal_homes;
+use bw_direct::place::place;
+use bw_direct::place::Candidate;
+use bw_direct::place::Found;
+use bw_model::Key;
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
+
+const ENTRIES: usize = 33;
+const ENDPOINTS: usize = 72;
+const SLOTS: u32 = 10;
+/// Milliseconds between two rounds of news.
+const NEWS_MS: u64 = 200;
+const SERVICE_MS: u64 = 1_500;
+const REQUESTS_S: u64 = 295;
+
+/// How entries choose.
+enum Way {
+    /// Home slots first, as the product does.
+    Homes,
+    /// The endpoint that looks least loaded.
+    Least,
+}
+
+/// Requests that found their endpoint full, of all, when entries choose on late news.
+fn collisions(way: &Way, seed: u64) -> (u32, u32) {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let slots = [SLOTS; ENDPOINTS];
+    let homes: Vec<Vec<u32>> =
+        (0..ENTRIES).map(|entry| deal_homes(&slots, entry, ENTRIES)).collect();
+    let mut running = vec![vec![0u32; ENDPOINTS]; ENTRIES];
+    let mut told = running.clone();
+    let mut ends: Vec<(u64, usize, usize)> = Vec::new();
+    let (mut full, mut all) = (0, 0);
+    for now in 0..20_000u64 {
+        ends.retain(|(at, entry, endpoint)| {
+            if *at == now {
+                running[*entry][*endpoint] -= 1;
+            }
+            *at > now
+        });
+        if now % NEWS_MS == 0 {
+            told = running.clone();
+        }
+        if random.random_range(0..1_000) >= REQUESTS_S {
+            continue;
+        }
+        let entry = random.random_range(0..ENTRIES);
+        let candidates: Vec<Candidate> = (0..ENDPOINTS)
+            .map(|endpoint| {
+                let own = running[entry][endpoint];
+                let others: u32 = (0..ENTRIES)
+                    .filter(|other| *other != entry)
+                    .map(|other| told[other][endpoint])
+                    .sum();
+                Candidate {
+                    key: EndpointKey::from_index(endpoint as u32),
+                    slots: SLOTS,
+                    work: Work { requests: own + others, prompt: 0 },
+                    own,
+                    homes: homes[entry][endpoint],
+                    far: false,
+                    slowness: 1.0,
+                }
+            })
+            .collect();
+        let chosen = match way {
+            Way::Homes => place(&candidates, &mut random).map(|(one, _)| one.key.index()),
+            Way::Least => {
+                candidates.iter().min_by_key(|one| one.work.requests).map(|one| one.key.index())
+            }
+        };
+        let Some(endpoint) = chosen else { continue };
+        all += 1;
+        let there: u32 = running.iter().map(|row| row[endpoint]).sum();
+        full += u32::from(there >= SLOTS);
+        running[entry][endpoint] += 1;
+        let length = SERVICE_MS / 2 + random.random_range(0..SERVICE_MS);
+        ends.push((now + length, entry, endpoint));
+    }
+    (full, all)
+}
+
+#[test]
+fn entries_on_late_news_do_not_meet_at_the_endpoint_that_looks_least_loaded() {
+    let (full, all) = collisions(&Way::Homes, 7);
+    assert!(f64::from(full) <= 0.005 * f64::from(all), "{full} of {all}");
+    let (meeting, _) = collisions(&Way::Least, 7);
+    assert!(meeting >= 10 * full.max(1), "{meeting} against {full}");
+}
+
+fn candidate(index: u32, requests: u32, own: u32, homes: u32) -> Candidate {
+    Candidate {
+        key: EndpointKey::from_index(index),
+        slots: 4,
+        work: Work { requests, prompt: 0 },
+        own,
+        homes,
+        far: false,
+        slowness: 1.0,
+    }
+}
+
+#[test]
+fn a_free_home_slot_goes_before_an_emptier_endpoint() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let candidates = [candidate(0, 0, 0, 0), candidate(1, 2, 0, 1)];
+    let (one, found) = place(&candidates, &mut random).unwrap();
+    assert_eq!((one.key.index(), found), (1, Found::Home));
+}
+
+#[test]
+fn a_slot_that_another_entry_seems_to_have_taken_is_not_free() {
+    let mut random = SmallRng::seed_from_u64(1);
+    let candidates = [candidate(0, 4, 0, 2), candidate(1, 3, 0, 0)];
+    let (one, found) = place(&candidates, &mut random).unwrap();
+    assert_eq!((one.key.index(), found), (1, Found::Borrowed));
+    assert!(place(&[candidate(0, 4, 1, 2)], &mut random).is_none());
+}
+
+proptest! {
+    #[test]
+    fn every_slot_is_the_home_of_one_entry_and_shares_are_even(
+        slots in proptest::collection::vec(0u32..20, 1..40),
+        entries in 1usize..50,
+    ) {
+        let dealt: Vec<Vec<u32>> =
+            (0..entries).map(|entry| deal_homes(&slots, entry, entries)).collect();
+        for (endpoint, count) in slots.iter().enumerate() {
+            prop_assert_eq!(dealt.iter().map(|homes| homes[endpoint]).sum::<u32>(), *count);
+        }
+        let shares: Vec<u32> = dealt.iter().map(|homes| homes.iter().sum()).collect();
+        let (least, most) = (shares.iter().min().unwrap(), shares.iter().max().unwrap());
+        prop_assert!(most - least <= 1, "{least} to {most}");
+    }
+}
--- a/crates/bw-fake/src/platform.rs
+++ b/crates/bw-fake/src/platform.rs
@@ -44,8 +44,6 @@
     pub down: bool,
     /// Calls are not answered at all.
     pub silent: bool,
-    /// Callers from these addresses are answered 503.
-    pub refused: Vec<std::net::IpAddr>,
     /// Each call takes so many milliseconds longer.
     pub slow: u64,
     /// So many next writes take effect without an answer.
@@ -74,14 +72,15 @@
 #[derive(Default)]
 struct State {
     objects: Objects,
-    faults: Faults,
     calls: Calls,
 }
 
-/// The object store.
+/// The object store, seen through one of its doors.
 #[derive(Clone)]
 pub struct Platform {
     state: Arc<Mutex<State>>,
+    /// Faults of this door.
+    faults: Arc<Mutex<Faults>>,
     budget: Arc<Mutex<Budget>>,
     start: Instant,
     changed: watch::Sender<u64>,
@@ -99,19 +98,24 @@
     pub fn new(rate: f64) -> Self {
         Self {
             state: Arc::default(),
+            faults: Arc::default(),
             budget: Arc::new(Mutex::new(Budget::new(rate, rate))),
             start: Instant::now(),
             changed: watch::Sender::new(0),
         }
     }
 
-    /// Switches faults.
+    /// Another door to the same objects, with faults of its own, as for one of several machines.
+    pub fn another_door(&self) -> Self {
+        Self { faults: Arc::default(), ..self.clone() }
+    }
+
+    /// Switches the faults of this door.
     pub fn set_faults(&self, faults: Faults) {
-        let mut state = self.lock();
         if faults.forget {
-            state.objects.forget_history();
+            self.lock().objects.forget_history();
         }
-        state.faults = Faults { forget: false, ..faults };
+        *self.lock_faults() = Faults { forget: false, ..faults };
     }
 
     /// Calls counted so far.
@@ -152,8 +156,7 @@
             Ok(call) => call,
             Err(error) => return Ok(text_reply(StatusCode::BAD_REQUEST, error.to_string())),
         };
-        let caller = request.remote_addr().map(|address| address.ip());
-        if let Some(refused) = self.admit(&call, caller).await {
+        if let Some(refused) = self.admit(&call).await {
             return Ok(refused);
         }
         match call {
@@ -173,23 +176,23 @@
     }
 
     /// Counts a call and applies outage, slowness and rate limit.
-    async fn admit(&self, call: &StoreCall, caller: Option<std::net::IpAddr>) -> Option<Response> {
-        let faults = {
+    async fn admit(&self, call: &StoreCall) -> Option<Response> {
+        {
             let mut state = self.lock();
             match call {
                 StoreCall::List { .. } | StoreCall::Get { .. } => state.calls.reads += 1,
                 StoreCall::Watch { .. } => state.calls.watches += 1,
                 _ => state.calls.writes += 1,
             }
-            state.faults.clone()
-        };
+        }
+        let faults = self.lock_faults().clone();
         if faults.slow > 0 {
             tokio::time::sleep(Duration::from_millis(faults.slow)).await;
         }
         if faults.silent {
             std::future::pending::<()>().await;
         }
-        if faults.down || caller.is_some_and(|caller| faults.refused.contains(&caller)) {
+        if faults.down {
             return Some(text_reply(StatusCode::SERVICE_UNAVAILABLE, "outage".to_string()));
         }
         let now = self.start.elapsed();
@@ -205,9 +208,10 @@
         let mut changed = self.changed.subscribe();
         let news = async {
             loop {
+                let shut = self.lock_faults().down || self.lock_faults().silent;
                 let changes = self.lock().objects.changes(kind, after);
                 match changes {
-                    Some(changes) if changes.events.is_empty() => {}
+                    Some(changes) if shut || changes.events.is_empty() => {}
                     changes => return changes,
                 }
                 if changed.changed().await.is_err() {
@@ -256,8 +260,7 @@
     }
 
     fn fate(&self) -> Fate {
-        let mut state = self.lock();
-        let faults = &mut state.faults;
+        let mut faults = self.lock_faults();
         if faults.lost > 0 {
             faults.lost -= 1;
             return Fate::Lost;
@@ -269,6 +272,10 @@
         Fate::Answered
     }
 
+    fn lock_faults(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/bw-gateway/tests/common/mod.rs
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -153,10 +153,6 @@
 
     pub async fn start_with(usual: &[Act], draft: Draft) -> Self {
         let platform = Platform::new(1e6);
-        let listener = bw_http::bind(loopback()).await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (store, stop) = Stop::pair();
-        tokio::spawn(bw_http::serve(listener, platform.routes(), stop));
         let mut endpoints = Vec::new();
         for (number, act) in usual.iter().enumerate() {
             let endpoint = FakeEndpoint::start(&format!("e-{number}"), act.clone()).await.unwrap();
@@ -165,13 +161,28 @@
             endpoints.push(endpoint);
         }
         platform.change(|objects| objects.create(config_object(&draft))).unwrap();
-        let mut settings = settings("gateway-1", address);
+        let rig = Self::join("gateway-1", platform, endpoints).await;
+        rig.wait_ready().await;
+        rig
+    }
+
+    /// Another gateway of the same deployment, with a door of its own to the store.
+    pub async fn start_peer(&self, instance: &str) -> Self {
+        let rig = Self::join(instance, self.platform.another_door(), self.endpoints.clone()).await;
+        rig.wait_ready().await;
+        rig
+    }
+
+    async fn join(instance: &str, platform: Platform, endpoints: Vec<FakeEndpoint>) -> Self {
+        let listener = bw_http::bind(loopback()).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (store, stop) = Stop::pair();
+        tokio::spawn(bw_http::serve(listener, platform.routes(), stop));
+        let mut settings = settings(instance, address);
         let sockets = app::Sockets::bind(&mut settings).await.unwrap();
         let mut kernel = Kernel::new();
         app::start(&mut kernel, settings.clone(), sockets, None).unwrap();
-        let rig = Self { platform, endpoints, settings, kernel, store };
-        rig.wait_ready().await;
-        rig
+        Self { platform, endpoints, settings, kernel, store }
     }
 
     /// Waits until the gateway says that it is ready.
@@ -193,6 +204,20 @@
         self.platform.change(|objects| objects.replace(config_object(draft))).unwrap();
     }
 
+    /// Whether the gateway says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}{}", self.settings.ready, bw_adapter::directory::READY_PATH);
+        let reply = bw_http::Client::new().get(&url, Duration::from_secs(5)).await;
+        reply.is_ok_and(|reply| reply.status == 200)
+    }
+
+    /// Calls until the answer has this status.
+    pub async fn wait_status(&self, path: &str, status: u16) {
+        while self.call("GET", path, "").await.status != status {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
     /// Opens a connection of a caller.
     pub async fn connect(&self) -> Channel {
         let liveness = Liveness {
--- /dev/null
+++ b/crates/bw-gateway/tests/sync.rs
@@ -0,0 +1,182 @@
+//! Configuration and endpoints come into force at all gateways, whichever of them sees the store.
+
+mod common;
+
+use bw_adapter::stand_in::endpoint::listing_object;
+use bw_direct::catalog::RouteKind;
+use bw_direct::catalog::Workspace;
+use bw_direct::endpoint::Endpoint;
+use bw_direct::endpoint::Phase;
+use bw_fake::endpoint::Act;
+use bw_fake::platform::Faults;
+use common::draft;
+use common::listing;
+use common::route;
+use common::Rig;
+
+fn fine() -> Act {
+    Act::Answer(200, "fine".to_string())
+}
+
+fn down() -> Faults {
+    Faults { down: true, ..Faults::default() }
+}
+
+#[tokio::test]
+async fn a_change_reaches_a_gateway_that_follows_another_one() {
+    let first = Rig::start(&[fine()]).await;
+    let second = first.start_peer("gateway-2").await;
+    let mut changed = draft(5);
+    changed.routes.push(route("new", RouteKind::Safe));
+    first.configure(&changed);
+    first.wait_status("/new/1", 200).await;
+    second.wait_status("/new/1", 200).await;
+    second.stop().await;
+    first.stop().await;
+}
+
+#[tokio::test]
+async fn a_follower_is_not_blind_when_the_gateway_that_it_follows_is_cut_from_the_store() {
+    let first = Rig::start(&[fine()]).await;
+    let second = first.start_peer("gateway-2").await;
+    // The first one watches for both; its door shuts silently.
+    first.platform.set_faults(Faults { silent: true, ..Faults::default() });
+    let mut changed = draft(5);
+    changed.routes.push(route("new", RouteKind::Safe));
+    first.configure(&changed);
+    second.wait_status("/new/1", 200).await;
+    // The one that is cut off takes the version from the peer that has it.
+    first.wait_status("/new/1", 200).await;
+    second.stop().await;
+    first.stop().await;
+}
+
+#[tokio::test]
+async fn a_key_that_was_taken_away_opens_nothing() {
+    let rig = Rig::start(&[fine()]).await;
+    let mut changed = draft(2);
+    let keys = vec!["another".to_string()];
+    changed.workspaces = Some(vec![Workspace { name: "orders".to_string(), keys, priority: 1 }]);
+    rig.configure(&changed);
+    rig.wait_status("/status/1", 401).await;
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn keys_open_nothing_once_the_configuration_cannot_be_proved_to_be_the_newest() {
+    let rig = Rig::start(&[fine()]).await;
+    rig.platform.set_faults(down());
+    rig.wait_status("/status/1", 503).await;
+    assert!(!rig.is_ready().await);
+    // A denial would promise what an unknown newer version may not hold.
+    assert_eq!(rig.call("GET", "/unknown/1", "").await.status, 503);
+    rig.platform.set_faults(Faults::default());
+    rig.wait_status("/status/1", 200).await;
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn an_older_version_does_not_come_back() {
+    let rig = Rig::start(&[fine()]).await;
+    let mut newer = draft(9);
+    newer.routes.push(route("new", RouteKind::Safe));
+    rig.configure(&newer);
+    rig.wait_status("/new/1", 200).await;
+    rig.configure(&draft(3));
+    let mut marker = draft(10);
+    marker.routes.push(route("new", RouteKind::Safe));
+    marker.routes.push(route("marker", RouteKind::Safe));
+    // Until the marker is in force, the older version has passed by.
+    let seen = tokio::join!(
+        async {
+            rig.configure(&marker);
+            rig.wait_status("/marker/1", 200).await;
+        },
+        rig.call("GET", "/new/1", "")
+    );
+    assert_eq!(seen.1.status, 200);
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_leaving_or_unreadable_endpoint_gets_no_new_work() {
+    let rig = Rig::start(&[fine(), fine(), fine()]).await;
+    let leaving = Endpoint { phase: Phase::Leaving, ..listing(&rig.endpoints[0]) };
+    rig.platform.change(|objects| objects.replace(listing_object(&leaving))).unwrap();
+    let mut unreadable = listing_object(&listing(&rig.endpoints[1]));
+    unreadable.content = serde_json::json!("nothing that names an endpoint");
+    rig.platform.change(|objects| objects.replace(unreadable)).unwrap();
+    let runs = |number: usize| rig.endpoints[number].seen().runs.len();
+    // Wait until both are out of use, then none of them may get any.
+    loop {
+        let before = (runs(0), runs(1));
+        for _ in 0..6 {
+            rig.call("GET", "/status/1", "").await;
+        }
+        if (runs(0), runs(1)) == before {
+            break;
+        }
+    }
+    let before = (runs(0), runs(1));
+    for _ in 0..12 {
+        assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+    }
+    assert_eq!((runs(0), runs(1)), before);
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn endpoints_whose_entries_lapsed_with_the_store_stay_usable_until_they_are_back() {
+    let rig = Rig::start(&[fine()]).await;
+    rig.platform.set_faults(down());
+    let name = rig.endpoints[0].name.clone();
+    rig.wait_status("/status/1", 503).await;
+    rig.platform.change(|objects| objects.remove(bw_adapter::endpoints::KIND, &name)).unwrap();
+    rig.platform.set_faults(Faults::default());
+    // The store is back, the entry not yet.
+    rig.wait_status("/status/1", 200).await;
+    let back = listing_object(&listing(&rig.endpoints[0]));
+    rig.platform.change(|objects| objects.create(back)).unwrap();
+    tokio::time::sleep(bw_direct::endpoint::LAPSE_GRACE * 2).await;
+    assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn an_endpoint_whose_entry_does_not_come_back_after_an_outage_is_gone() {
+    let rig = Rig::start(&[fine(), fine()]).await;
+    rig.platform.set_faults(down());
+    rig.wait_status("/status/1", 503).await;
+    let name = rig.endpoints[0].name.clone();
+    rig.platform.change(|objects| objects.remove(bw_adapter::endpoints::KIND, &name)).unwrap();
+    rig.platform.set_faults(Faults::default());
+    rig.wait_status("/status/1", 200).await;
+    tokio::time::sleep(bw_direct::endpoint::LAPSE_GRACE * 2).await;
+    let before = rig.endpoints[0].seen().runs.len();
+    for _ in 0..12 {
+        assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+    }
+    assert_eq!(rig.endpoints[0].seen().runs.len(), before);
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_store_that_forgets_its_history_is_listed_anew() {
+    let rig = Rig::start(&[fine()]).await;
+    let mut changed = draft(4);
+    changed.routes.push(route("new", RouteKind::Safe));
+    rig.configure(&changed);
+    rig.platform.set_faults(Faults { forget: true, ..Faults::default() });
+    rig.wait_status("/new/1", 200).await;
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_stopping_gateway_is_not_ready_and_finishes_what_it_has() {
+    let rig = Rig::start(&[Act::Stream(40)]).await;
+    let mut channel = rig.connect().await;
+    let response =
+        channel.send(common::request("POST", "/chat/1", "tell me", "a-1")).await.unwrap();
+    let (reply, ()) = tokio::join!(common::read_reply(response), rig.stop());
+    assert!(reply.body.is_some_and(|body| body.contains("id: 40")));
+}
