--- a/crates/bw-direct/tests/attempts.rs
+++ b/crates/bw-direct/tests/attempts.rs
@@ -1,5 +1,7 @@
 //! Which requests are sent again, and what their callers are told.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use std::time::Duration;
 
 use bw_direct::attempts::Attempts;
--- a/crates/bw-direct/tests/budget.rs
+++ b/crates/bw-direct/tests/budget.rs
@@ -1,5 +1,7 @@
 //! The budget for repeats, over all entries and any window.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use std::time::Duration;
 
 use bw_direct::budget::Allowance;
--- a/crates/bw-direct/tests/events.rs
+++ b/crates/bw-direct/tests/events.rs
@@ -1,5 +1,7 @@
 //! Cutting streams of bytes into whole events.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use bw_direct::events::EventBuffer;
 use proptest::prelude::*;
 
--- a/crates/bw-direct/tests/health.rs
+++ b/crates/bw-direct/tests/health.rs
@@ -1,5 +1,7 @@
 //! Endpoints that fail more than the others of their service.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use std::time::Duration;
 
 use bw_direct::endpoint::EndpointKey;
--- a/crates/bw-direct/tests/place.rs
+++ b/crates/bw-direct/tests/place.rs
@@ -1,5 +1,7 @@
 //! Placing under many entries on late news, replayed from the load that showed the collisions.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use bw_direct::endpoint::EndpointKey;
 use bw_direct::load::Work;
 use bw_direct::place::deal_homes;
--- a/crates/bw-direct/tests/relay.rs
+++ b/crates/bw-direct/tests/relay.rs
@@ -1,5 +1,7 @@
 //! Who watches the store, and who follows whom.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use std::time::Duration;
 
 use bw_direct::relay::pick_source;
--- a/crates/bw-direct/tests/steps.rs
+++ b/crates/bw-direct/tests/steps.rs
@@ -1,5 +1,7 @@
 //! Shifts of demand as the pauses of streams show them.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use std::time::Duration;
 
 use bw_direct::steps::StepTrack;
--- a/crates/bw-expert/tests/replicas.rs
+++ b/crates/bw-expert/tests/replicas.rs
@@ -1,5 +1,7 @@
 //! Placements with evenly shared replicas.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use bw_expert::policy::replicas::improve;
 use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::Room;
--- a/crates/bw-expert/tests/sample.rs
+++ b/crates/bw-expert/tests/sample.rs
@@ -1,5 +1,7 @@
 //! The estimate of demand from the counts of a few ranks.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use bw_expert::policy::sample::Moment;
 use bw_expert::policy::sample::Sampler;
 
--- a/crates/bw-explore/tests/drive.rs
+++ b/crates/bw-explore/tests/drive.rs
@@ -1,5 +1,7 @@
 //! Drivers of a map switch under every order of small cases.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use bw_explore::drive::DriveModel;
 use bw_explore::drive::Faults;
 use bw_explore::drive::Published;
--- a/crates/bw-gateway/tests/common/mod.rs
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -1,5 +1,6 @@
 //! A gateway in this process before stand-ins of the store and of endpoints.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
 // Each test file uses some of this.
 #![allow(dead_code)]
 
--- a/crates/bw-gateway/tests/once.rs
+++ b/crates/bw-gateway/tests/once.rs
@@ -1,5 +1,7 @@
 //! Requests are answered whole and run no more often than they may.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 mod common;
 
 use bw_fake::endpoint::event_text;
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -1,5 +1,7 @@
 //! Configuration and endpoints come into force at all gateways, whichever of them sees the store.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 mod common;
 
 use bw_adapter::stand_in::endpoint::listing_object;
--- a/crates/bw-kernel/tests/logging.rs
+++ b/crates/bw-kernel/tests/logging.rs
@@ -1,5 +1,7 @@
 //! The log queue under a reader that does not read.
 
+#![allow(clippy::unwrap_used, clippy::panic)]
+
 use std::io;
 use std::io::Write;
 use std::sync::mpsc;
