--- a/crates/bw-gateway/tests/once.rs
+++ b/crates/bw-gateway/tests/once.rs
@@ -144,7 +144,7 @@
 #[tokio::test]
 async fn a_caller_that_leaves_ends_the_work_at_the_endpoint() {
     for act in [Act::Hang, Act::SilentStream] {
-        let rig = Rig::start(&[act.clone()]).await;
+        let rig = Rig::start(std::slice::from_ref(&act)).await;
         let mut channel = rig.connect().await;
         let path = if act == Act::Hang { "/order/1" } else { "/chat/1" };
         let endpoint = &rig.endpoints[0];
