Bound heads, connections and bodies; stop sending requests that crash endpoints

Causes: a head could take as long as a connection may idle; connections and bodies were bounded by nothing but the kernel; a request that crashes each endpoint it runs on was sent again whenever its caller repeated it. Change: HeadGuard times a head from its first byte, apart from idle time; callers take 0.6 of the descriptors at most and bodies a quarter of the memory, and are told to come back beyond that; a connection that breaks at an endpoint which no longer listens is a crash, its requests get a strike at all gateways (with the news), and at the third one a request is refused as not run. Tests: heads that never end or are too large, idle connections, large bodies, four framings that hide a request, forged headers, six endpoints of which a request crashes three.

--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -67,6 +67,17 @@
     pub percent: u32,
 }
 
+/// A request that was in flight when an endpoint crashed.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectNews {
+    /// Endpoint that crashed.
+    pub endpoint: String,
+    /// The life that ended, as the Unix millisecond of its start.
+    pub born: u64,
+    /// Fingerprint of the request.
+    pub fingerprint: u64,
+}
+
 /// Bytes that follow the news in a datagram: the receiver's last stamp.
 const ECHO_BYTES: usize = 8;
 
@@ -107,6 +118,8 @@
     pub paces: Vec<PaceNews>,
     /// Work of the sender at endpoints.
     pub works: Vec<WorkNews>,
+    /// Requests in flight at crashes of the last seconds.
+    pub suspects: Vec<SuspectNews>,
     /// Other entries that the sender knows; only in some of the news.
     pub others: Vec<PeerAddress>,
 }
--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -43,6 +43,8 @@
     Foreign(String),
     /// Runs it and resets the connection.
     Reset,
+    /// Runs it and crashes: all connections break, and nothing listens any more.
+    Crash,
     /// Closes the connection without reading on.
     Close,
     /// Runs it and never answers.
@@ -95,6 +97,10 @@
     usual: Act,
     state: Arc<Mutex<State>>,
     changed: Arc<Notify>,
+    /// Tells the listener to end.
+    crashed: Arc<Notify>,
+    /// Tells that it has ended.
+    gone: Arc<Notify>,
 }
 
 impl FakeEndpoint {
@@ -110,10 +116,16 @@
             usual,
             state: Arc::default(),
             changed: Arc::default(),
+            crashed: Arc::default(),
+            gone: Arc::default(),
         };
         let serving = endpoint.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let stream = tokio::select! {
+                    Ok((stream, _)) = listener.accept() => stream,
+                    () = serving.crashed.notified() => break,
+                };
                 let endpoint = serving.clone();
                 endpoint.change(|state| state.seen.connections += 1);
                 tokio::spawn(async move {
@@ -121,6 +133,8 @@
                     let _ = endpoint.serve(stream).await;
                 });
             }
+            drop(listener);
+            serving.gone.notify_one();
         });
         Ok(endpoint)
     }
@@ -208,6 +222,11 @@
                 return Ok(true);
             }
             Act::Reset => stream.set_zero_linger()?,
+            Act::Crash => {
+                stream.set_zero_linger()?;
+                self.crashed.notify_one();
+                self.gone.notified().await;
+            }
             Act::Close => {}
             Act::Hang => self.wait_for_leave(stream).await?,
             Act::Shed => {
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -17,10 +17,12 @@
 use bw_platform::Store;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
+use tokio::sync::Semaphore;
 
 use crate::config::Config;
 use crate::endpoints::Endpoints;
 use crate::error::GatewayError;
+use crate::forward::body_units;
 use crate::forward::Forwarder;
 use crate::frontend;
 use crate::peers::Gossip;
@@ -30,6 +32,7 @@
 use crate::reload::follow_file;
 use crate::reload::LiveSettings;
 use crate::settings::Settings;
+use crate::suspects::Suspects;
 use crate::sync::Sync;
 use crate::waiting::Waiting;
 use crate::web;
@@ -95,6 +98,7 @@
     let config = Config::default();
     let endpoints = Endpoints::new(settings.centre.to_string(), rand::random());
     let waiting = Waiting::new(endpoints.clone(), clock);
+    let suspects = Suspects::new(clock);
     let budget = Budget::new(settings.rate, settings.rate * STORE_BURST_SECONDS);
     let store = Store::new(&settings.platform, budget, &metrics)?;
     let relay = Relay::new();
@@ -119,8 +123,10 @@
         config: config.clone(),
         endpoints: endpoints.clone(),
         waiting: waiting.clone(),
+        suspects: suspects.clone(),
         peers: peers.clone(),
         budget: Arc::default(),
+        bytes: Arc::new(Semaphore::new(body_units(settings.memory))),
         clock,
         settings: live.clone(),
     };
@@ -137,6 +143,7 @@
         config: config.clone(),
         endpoints,
         waiting,
+        suspects,
         clock,
         seeds: seeds.collect(),
     };
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -113,6 +113,8 @@
     pub name: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Unix millisecond of its start.
+    pub born: u64,
     /// Work there before this request.
     pub work: Work,
     /// How it was found.
@@ -274,6 +276,7 @@
             key: best.key,
             name: endpoint.name.clone(),
             address: endpoint.address,
+            born: endpoint.born,
             work: best.work,
             found,
             age,
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -87,11 +87,18 @@
     pub reason: String,
     /// Whether another endpoint had the address.
     misdirected: bool,
+    /// Whether the connection broke while the request may have been running.
+    broke: bool,
 }
 
 impl Failure {
     fn new(end: SendEnd, reason: impl Into<String>) -> Self {
-        Self { end, reason: reason.into(), misdirected: false }
+        Self { end, reason: reason.into(), misdirected: false, broke: false }
+    }
+
+    /// The connection broke while the request may have been running.
+    fn broke(reason: impl Into<String>) -> Self {
+        Self { broke: true, ..Self::new(SendEnd::MayHaveRun, reason) }
     }
 }
 
@@ -113,6 +120,7 @@
                 job.note_send(&placed, Ok(()), took);
                 Ok(match response {
                     Response::Whole(whole) => {
+                        self.suspects.clear(job.fingerprint);
                         self.keep_channel(&placed, &decode_reply(&whole.parts), channel);
                         Sent::Whole(whole)
                     }
@@ -128,6 +136,9 @@
                 if !failure.misdirected {
                     self.endpoints.fail(key, self.clock.now());
                 }
+                if failure.broke {
+                    self.suspects.note_broken(&placed.chosen, job.fingerprint);
+                }
                 Err(failure.end)
             }
         }
@@ -185,9 +196,7 @@
             Err(ChannelError::NotSent(reason)) => {
                 return Err(Failure::new(SendEnd::NotSent, reason))
             }
-            Err(ChannelError::Broken(reason)) => {
-                return Err(Failure::new(SendEnd::MayHaveRun, reason))
-            }
+            Err(ChannelError::Broken(reason)) => return Err(Failure::broke(reason)),
         };
         let (parts, body) = response.into_parts();
         let reply = decode_reply(&parts);
@@ -197,8 +206,7 @@
         }
         placed.answered();
         let collected = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
-        let collected =
-            collected.map_err(|error| Failure::new(SendEnd::MayHaveRun, error.to_string()))?;
+        let collected = collected.map_err(|error| Failure::broke(error.to_string()))?;
         if parts.status.is_server_error() {
             self.endpoints.fail(placed.chosen.key, self.clock.now());
         } else {
@@ -218,7 +226,7 @@
                 self.endpoints.bar(placed.chosen.key);
             }
             let reason = format!("status {}", reply.status);
-            return Err(Failure { end: SendEnd::NotRun, reason, misdirected });
+            return Err(Failure { misdirected, ..Failure::new(SendEnd::NotRun, reason) });
         }
         if !own {
             return Err(Failure::new(SendEnd::MayHaveRun, "answer to another attempt"));
@@ -266,8 +274,8 @@
                 }
             }
             Ok(None) if buffer.is_empty() => break None,
-            Ok(None) => return Err(Failure::new(SendEnd::MayHaveRun, "partial event")),
-            Err(reason) => return Err(Failure::new(SendEnd::MayHaveRun, reason)),
+            Ok(None) => return Err(Failure::broke("partial event")),
+            Err(reason) => return Err(Failure::broke(reason)),
         }
     };
     placed.answered();
--- a/crates/bw-gateway/src/forward/job.rs
+++ b/crates/bw-gateway/src/forward/job.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use hyper::http::request;
 use smallvec::SmallVec;
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::waiting::Ask;
 use crate::waiting::Placed;
@@ -33,6 +34,10 @@
     pub head: CallerHead,
     /// Its body.
     pub body: Bytes,
+    /// Hash of workspace, path and body, which recognizes a repeat under another id.
+    pub fingerprint: u64,
+    /// Memory that the body takes.
+    pub _memory: OwnedSemaphorePermit,
     /// The configuration when it came.
     pub catalog: Arc<Catalog>,
     /// Its route.
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -20,6 +20,7 @@
 use bw_direct::catalog::pick_target;
 use bw_direct::request::CallerHead;
 use bw_kernel::BootClock;
+use bw_model::hash::fingerprint;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -31,6 +32,8 @@
 use hyper::Response;
 use log::info;
 use smallvec::SmallVec;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
 use tokio::time::timeout;
 
 use self::exchange::Sent;
@@ -45,6 +48,7 @@
 use crate::reload::LiveSettings;
 use crate::reply::Refusal;
 use crate::reply::ReplyBody;
+use crate::suspects::Suspects;
 use crate::waiting::TurnedAway;
 use crate::waiting::Waiting;
 
@@ -55,6 +59,20 @@
 /// Time after which a caller comes back when endpoints turned its request away.
 const RETRY_TURNED_AWAY: Duration = Duration::from_millis(250);
 
+/// Bytes of a request's body that are counted together.
+pub const BODY_UNIT: usize = 1_024;
+/// Part of the process's memory that bodies of requests may take.
+const BODIES_PART: u64 = 4;
+/// Time after which a caller comes back whose body found no memory.
+const RETRY_MEMORY: Duration = Duration::from_millis(1_000);
+/// Time after which the caller of a request that crashes endpoints may ask again.
+const RETRY_QUARANTINED: Duration = Duration::from_secs(30);
+
+/// Units of memory that bodies of requests may take, for a process with so many megabytes.
+pub fn body_units(memory: u64) -> usize {
+    (memory * 1_048_576 / BODIES_PART) as usize / BODY_UNIT
+}
+
 /// What forwarding needs of the other services.
 #[derive(Clone)]
 pub struct Forwarder {
@@ -64,6 +82,10 @@
     pub endpoints: Endpoints,
     /// Requests that wait for endpoints.
     pub waiting: Waiting,
+    /// Requests that crash endpoints.
+    pub suspects: Suspects,
+    /// Memory for bodies of requests, in units of [`BODY_UNIT`].
+    pub bytes: Arc<Semaphore>,
     /// The other gateways.
     pub peers: PeerNews,
     /// The budget for sending requests once more.
@@ -132,7 +154,13 @@
             workspace = Some(&catalog.workspaces[known]);
         }
         let left = head.left.unwrap_or(DEADLINE_DEFAULT).min(route.timeout);
+        let memory = self.reserve(&body, catalog.limits.body)?;
         let body = self.read_body(body, catalog.limits.body, left).await?;
+        let caller = workspace.map_or("", |workspace| workspace.name.as_str());
+        let fingerprint = fingerprint(caller, parts.uri.path(), &body);
+        if self.suspects.is_quarantined(fingerprint) {
+            return Err((Refusal::Quarantined, Some(RETRY_QUARANTINED)));
+        }
         let target = pick_target(&route.targets, rand::random());
         let service = target.map(|target| target.service.clone()).unwrap_or_default();
         Ok(Job {
@@ -147,6 +175,8 @@
             parts,
             head,
             body,
+            fingerprint,
+            _memory: memory,
             tried: SmallVec::new(),
             trace: String::new(),
         })
@@ -166,6 +196,15 @@
         age.is_some_and(|age| age <= self.settings.proof_age_max())
     }
 
+    /// Takes memory for a body that is still to come.
+    fn reserve(&self, body: &Incoming, limit: usize) -> Result<OwnedSemaphorePermit, Refused> {
+        let hint = body.size_hint();
+        let length = hint.upper().unwrap_or(limit as u64).min(limit as u64);
+        let units = length.div_ceil(BODY_UNIT as u64) as u32;
+        let permit = self.bytes.clone().try_acquire_many_owned(units);
+        permit.map_err(|_| (Refusal::Overloaded, Some(RETRY_MEMORY)))
+    }
+
     async fn read_body(
         &self,
         body: Incoming,
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -76,16 +76,20 @@
         let first = self.passed;
         let mut part = started;
         let result = loop {
-            let key = part.opened.placed.chosen.key;
+            let chosen = part.opened.placed.chosen.clone();
             match self.pass(part).await {
-                PartEnd::Complete => break "complete",
+                PartEnd::Complete => {
+                    self.forwarder.suspects.clear(self.job.fingerprint);
+                    break "complete";
+                }
                 PartEnd::Left => break "caller_left",
                 PartEnd::Expired => {
                     self.break_off();
                     break "expired";
                 }
                 PartEnd::Broken(reason) => {
-                    self.forwarder.endpoints.fail(key, self.forwarder.clock.now());
+                    self.forwarder.endpoints.fail(chosen.key, self.forwarder.clock.now());
+                    self.forwarder.suspects.note_broken(&chosen, self.job.fingerprint);
                     self.job.note(&format!("broken:{reason}"));
                     match self.resume().await {
                         Some(next) => part = next,
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod reload;
 pub mod reply;
 pub mod settings;
+pub mod suspects;
 pub mod sync;
 pub mod waiting;
 pub mod web;
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -31,6 +31,7 @@
 
 use crate::config::Config;
 use crate::endpoints::Endpoints;
+use crate::suspects::Suspects;
 use crate::waiting::Waiting;
 
 /// Shortest and longest time between two rounds of news.
@@ -238,6 +239,8 @@
     pub endpoints: Endpoints,
     /// Requests that wait for endpoints.
     pub waiting: Waiting,
+    /// Requests that crash endpoints.
+    pub suspects: Suspects,
     /// Clock of the process.
     pub clock: BootClock,
     /// Addresses of gateways to begin with.
@@ -282,6 +285,7 @@
         let naming = round % NAMING_ROUNDS == 0;
         let works = self.endpoints.news(now);
         let paces = self.endpoints.pace_news();
+        let suspects = self.suspects.news();
         let proof = self.config.proof_age(now).map(|age| age.as_millis() as u32);
         let (news, targets) = {
             let mut state = self.peers.lock();
@@ -299,6 +303,7 @@
                 duty: state.duty.held(),
                 paces,
                 works,
+                suspects,
                 others,
             };
             let mut targets = state.peers.news_addresses(now);
@@ -383,6 +388,7 @@
             self.peers.lock().duty.hear(fence, now);
             self.endpoints.hear_paces(&news.paces, now);
         }
+        self.suspects.hear(&news.suspects);
         self.endpoints.hear(&news.state.instance, &news.works, now);
         self.config.hear(news.state.version, news.address.news);
         self.peers.hear_listing(news.listing, news.address.news);
--- a/crates/bw-gateway/src/reply.rs
+++ b/crates/bw-gateway/src/reply.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bw_adapter::requests::attempt_header;
+use bw_http::BusyToken;
 use bytes::Bytes;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -29,6 +30,40 @@
 
 impl std::error::Error for StreamBroken {}
 
+/// An answer's body with what is held until it is sent.
+#[derive(Debug)]
+pub struct HeldBody {
+    body: ReplyBody,
+    _busy: BusyToken,
+}
+
+impl HeldBody {
+    /// Holds `busy` until `body` is sent or given up.
+    pub fn new(body: ReplyBody, busy: BusyToken) -> Self {
+        Self { body, _busy: busy }
+    }
+}
+
+impl Body for HeldBody {
+    type Data = Bytes;
+    type Error = StreamBroken;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, StreamBroken>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Body of an answer.
 #[derive(Debug)]
 pub enum ReplyBody {
@@ -95,6 +130,10 @@
     MayHaveRun,
     /// The time ran out while an endpoint may have been running the request.
     TimedOut,
+    /// The gateway holds as many connections or bytes as it may.
+    Overloaded,
+    /// The request has crashed too many endpoints.
+    Quarantined,
 }
 
 impl Refusal {
@@ -113,6 +152,8 @@
             Self::SlowBody => "body_too_slow",
             Self::MayHaveRun => "may_have_run",
             Self::TimedOut => "timed_out",
+            Self::Overloaded => "overloaded",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -123,7 +164,9 @@
             | Self::Unproved
             | Self::NoEndpoint
             | Self::TurnedAway
-            | Self::Expired => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Expired
+            | Self::Overloaded
+            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadHead => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
--- /dev/null
+++ b/crates/bw-gateway/tests/hostile.rs
@@ -0,0 +1,151 @@
+//! Callers that send what they should not, and requests that crash endpoints.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod common;
+
+use std::time::Duration;
+
+use bw_direct::catalog::Draft;
+use bw_direct::catalog::Limits;
+use bw_fake::endpoint::Act;
+use common::draft;
+use common::read_reply;
+use common::request;
+use common::Rig;
+use common::HOST;
+use common::KEY;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+fn fine() -> Act {
+    Act::Answer(200, "fine".to_string())
+}
+
+/// Heads have to be complete soon; connections may stay idle for much longer.
+fn impatient() -> Draft {
+    let limits = Limits {
+        time: Duration::from_millis(100),
+        idle: Duration::from_secs(15),
+        ..draft(1).limits
+    };
+    Draft { limits, ..draft(1) }
+}
+
+fn head(path: &str) -> String {
+    let headers = bw_adapter::stand_in::endpoint::caller_headers("a-1", KEY, 8_000);
+    let headers: String =
+        headers.iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
+    format!("POST {path} HTTP/1.1\r\nHost: {HOST}\r\n{headers}")
+}
+
+/// Sends bytes and reads until the gateway closes the connection.
+async fn exchange(rig: &Rig, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(rig.settings.callers).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    let mut answer = Vec::new();
+    // A reset ends the reading like a close.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[tokio::test]
+async fn a_head_that_never_ends_is_given_up() {
+    let rig = Rig::start_with(&[fine()], impatient()).await;
+    let answer = exchange(&rig, head("/order/1").as_bytes()).await;
+    assert!(!answer.contains("200"), "{answer}");
+    assert!(rig.endpoints[0].seen().arrivals.is_empty());
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_connection_may_idle_for_longer_than_a_head_may_take() {
+    let rig = Rig::start_with(&[fine()], impatient()).await;
+    let mut channel = rig.connect().await;
+    for _ in 0..3 {
+        let response = channel.send(request("GET", "/status/1", "", "a-1")).await.unwrap();
+        assert_eq!(read_reply(response).await.status, 200);
+        assert!(channel.ready().await);
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_head_larger_than_the_limit_is_refused() {
+    let rig = Rig::start(&[fine()]).await;
+    let mut bytes = head("/order/1");
+    for number in 0..4_000 {
+        bytes.push_str(&format!("x-{number}: {}\r\n", "y".repeat(60)));
+    }
+    let answer = exchange(&rig, bytes.as_bytes()).await;
+    assert!(!answer.starts_with("HTTP/1.1 2"), "{answer}");
+    assert!(rig.endpoints[0].seen().arrivals.is_empty());
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_body_larger_than_the_limit_is_refused() {
+    let rig = Rig::start(&[fine()]).await;
+    let reply = rig.call("POST", "/order/1", &"x".repeat(70_000)).await;
+    assert_eq!(reply.status, 413);
+    assert!(rig.endpoints[0].seen().arrivals.is_empty());
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_request_hidden_in_the_body_of_another_one_does_not_run() {
+    let hidden = format!("{}Content-Length: 0\r\n\r\n", head("/order/hidden"));
+    let framings = [
+        format!("Content-Length: {}\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", hidden.len()),
+        format!("Content-Length: 0\r\nContent-Length: {}\r\n\r\n", hidden.len()),
+        "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n".to_string(),
+        format!("Content-Length: {}\r\n\r\n", hidden.len()),
+    ];
+    for framing in framings {
+        let rig = Rig::start(&[fine()]).await;
+        let mut stream = TcpStream::connect(rig.settings.callers).await.unwrap();
+        let bytes = format!("{}Connection: close\r\n{framing}{hidden}", head("/order/open"));
+        stream.write_all(bytes.as_bytes()).await.unwrap();
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer).await;
+        let paths = rig.endpoints[0].seen().arrivals;
+        let hidden = paths.iter().filter(|arrival| arrival.path.contains("hidden")).count();
+        assert_eq!(hidden, 0, "{framing}");
+        rig.stop().await;
+    }
+}
+
+#[tokio::test]
+async fn headers_that_only_the_gateway_may_set_do_not_reach_endpoints() {
+    let rig = Rig::start(&[fine()]).await;
+    let forged = "tenant: others\r\nexpect-instance: e-9\r\nrequest-priority: 0\r\n";
+    let bytes =
+        format!("{}{forged}Connection: close\r\nContent-Length: 0\r\n\r\n", head("/order/1"));
+    exchange(&rig, bytes.as_bytes()).await;
+    let arrival = rig.endpoints[0].seen().arrivals[0].clone();
+    assert_eq!(arrival.workspace.as_deref(), Some("orders"));
+    assert_eq!(arrival.endpoint.as_deref(), Some("e-0"));
+    rig.stop().await;
+}
+
+#[tokio::test]
+async fn a_request_that_has_crashed_three_endpoints_crashes_no_other_one() {
+    let rig = Rig::start(&vec![Act::Crash; 6]).await;
+    let crashes = || rig.endpoints.iter().filter(|one| !one.seen().runs.is_empty()).count();
+    while crashes() < 3 {
+        rig.call("POST", "/order/poison", "the same").await;
+        // The check whether the endpoint still listens runs beside the answer.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    for _ in 0..6 {
+        let reply = rig.call("POST", "/order/poison", "the same").await;
+        assert_eq!(reply.status, 503);
+    }
+    assert_eq!(crashes(), 3);
+    // Another request is not held back.
+    rig.call("POST", "/order/other", "another").await;
+    assert_eq!(crashes(), 4);
+    rig.stop().await;
+}
--- a/crates/bw-http/src/lib.rs
+++ b/crates/bw-http/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod channel;
 pub mod client;
+pub mod head_guard;
 pub mod reply;
 pub mod server;
 
@@ -13,6 +14,8 @@
 pub use channel::Liveness;
 pub use client::Client;
 pub use client::ClientError;
+pub use head_guard::BusyToken;
+pub use head_guard::HeadGuard;
 pub use reply::json_reply;
 pub use reply::text_reply;
 pub use server::bind;
--- a/crates/bw-once/src/evidence.rs
+++ b/crates/bw-once/src/evidence.rs
@@ -45,10 +45,18 @@
 }
 
 /// The strikes of each fingerprint.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Evidence {
     strikes: HashMap<u64, Vec<CrashId>>,
     order: VecDeque<u64>,
+    /// Crashes after which a request is quarantined.
+    limit: usize,
+}
+
+impl Default for Evidence {
+    fn default() -> Self {
+        Self::with_limit(STRIKES_MAX)
+    }
 }
 
 impl Evidence {
@@ -57,6 +65,11 @@
         Self::default()
     }
 
+    /// Evidence that quarantines at another number of crashes than [`STRIKES_MAX`].
+    pub fn with_limit(limit: usize) -> Self {
+        Self { strikes: HashMap::new(), order: VecDeque::new(), limit }
+    }
+
     /// Records a crash; true when it was not known.
     pub fn record(&mut self, crash: &Crash) -> bool {
         let id = (crash.endpoint.clone(), crash.incarnation, crash.number);
@@ -87,7 +100,7 @@
     pub fn standing(&self, fingerprint: u64) -> Standing {
         match self.strikes.get(&fingerprint).map_or(0, Vec::len) {
             0 => Standing::Clear,
-            strikes if strikes < STRIKES_MAX => Standing::Suspect,
+            strikes if strikes < self.limit => Standing::Suspect,
             _ => Standing::Quarantined,
         }
     }
