Serve metrics on their own address; look for readiness more often before it is given

Change: readiness is looked at every 25 ms until it is given. Counters and latency histograms by service on an address of the settings; names that callers make up are no labels.

--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -1,5 +1,6 @@
 //! Puts the gateway together and starts its services.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +26,7 @@
 use crate::forward::body_units;
 use crate::forward::Forwarder;
 use crate::frontend;
+use crate::metrics::GatewayMetrics;
 use crate::peers::Gossip;
 use crate::peers::PeerNews;
 use crate::planner::PlanService;
@@ -40,14 +42,17 @@
 
 /// Seconds of the store's rate that may be used at once.
 const STORE_BURST_SECONDS: f64 = 4.0;
-/// Time between two looks at what readiness depends on.
+/// Time between two looks at what readiness depends on, once it is given.
 const READY_PAUSE: Duration = Duration::from_millis(250);
+/// The same before, so that callers hear soon of a gateway that has started.
+const UNREADY_PAUSE: Duration = Duration::from_millis(25);
 
 /// The open sockets of a gateway.
 pub struct Sockets {
     callers: TcpListener,
     ready: TcpListener,
     directory: Option<TcpListener>,
+    metrics: Option<TcpListener>,
     news: UdpSocket,
     relay: TcpListener,
 }
@@ -61,20 +66,26 @@
     pub async fn bind(settings: &mut Settings) -> std::io::Result<Self> {
         let callers = bw_http::bind(settings.callers).await?;
         let ready = bw_http::bind(settings.ready).await?;
-        let directory = match settings.directory {
-            Some(address) => Some(bw_http::bind(address).await?),
-            None => None,
-        };
+        let directory = bind_optional(&mut settings.directory).await?;
+        let metrics = bind_optional(&mut settings.metrics).await?;
         // Peers reach the news and the relay at one address.
         let relay = bw_http::bind(settings.news).await?;
         settings.news = relay.local_addr()?;
         let news = UdpSocket::bind(settings.news).await?;
         settings.callers = callers.local_addr()?;
         settings.ready = ready.local_addr()?;
-        Ok(Self { callers, ready, directory, news, relay })
+        Ok(Self { callers, ready, directory, metrics, news, relay })
     }
 }
 
+/// Opens a socket that may not be wanted.
+async fn bind_optional(address: &mut Option<SocketAddr>) -> std::io::Result<Option<TcpListener>> {
+    let Some(wanted) = address else { return Ok(None) };
+    let listener = bw_http::bind(*wanted).await?;
+    *wanted = listener.local_addr()?;
+    Ok(Some(listener))
+}
+
 /// Starts all services of a gateway; `file` is its settings file, which is followed.
 ///
 /// # Errors
@@ -98,6 +109,7 @@
     let config = Config::default();
     let endpoints = Endpoints::new(settings.centre.to_string(), rand::random());
     let waiting = Waiting::new(endpoints.clone(), clock);
+    let measured = GatewayMetrics::new(&metrics)?;
     let suspects = Suspects::new(clock);
     let budget = Budget::new(settings.rate, settings.rate * STORE_BURST_SECONDS);
     let store = Store::new(&settings.platform, budget, &metrics)?;
@@ -117,6 +129,7 @@
         config: config.clone(),
         endpoints: endpoints.clone(),
         peers: peers.clone(),
+        metrics: measured.clone(),
         clock,
     };
     let forwarder = Forwarder {
@@ -127,10 +140,13 @@
         peers: peers.clone(),
         budget: Arc::default(),
         bytes: Arc::new(Semaphore::new(body_units(settings.memory))),
+        metrics: measured.clone(),
         clock,
         settings: live.clone(),
     };
     let readiness = Readiness {
+        waiting: waiting.clone(),
+        metrics: measured,
         config: config.clone(),
         endpoints: endpoints.clone(),
         peers: peers.clone(),
@@ -148,7 +164,7 @@
         seeds: seeds.collect(),
     };
 
-    let Sockets { callers, ready, directory, news, relay: relayed } = sockets;
+    let Sockets { callers, ready, directory, metrics: measuring, news, relay: relayed } = sockets;
     if let Some(file) = file {
         let signals = kernel.reloads();
         let live = live.clone();
@@ -161,8 +177,12 @@
     kernel.start("relay", |stop| bw_http::serve(relayed, relay.routes(), stop));
     kernel.start("news", |stop| gossip.run(news, stop));
     kernel.start("planner", |stop| planner.run(stop));
-    let routes = web::ready_routes(readiness.clone(), metrics);
+    let routes = web::ready_routes(readiness.clone());
     kernel.start("ready", |stop| bw_http::serve(ready, routes, stop));
+    if let Some(listener) = measuring {
+        let routes = web::metrics_routes(readiness.clone(), metrics);
+        kernel.start("metrics", |stop| bw_http::serve(listener, routes, stop));
+    }
     if let Some(listener) = directory {
         let routes = web::directory_routes(peers.clone(), config, clock, live);
         kernel.start("directory", |stop| bw_http::serve(listener, routes, stop));
@@ -191,9 +211,11 @@
     mut stop: Stop,
 ) -> Result<(), std::convert::Infallible> {
     loop {
-        peers.set_ready(readiness.is_ready());
+        let ready = readiness.is_ready();
+        peers.set_ready(ready);
+        let pause = if ready { READY_PAUSE } else { UNREADY_PAUSE };
         tokio::select! {
-            () = tokio::time::sleep(READY_PAUSE) => {}
+            () = tokio::time::sleep(pause) => {}
             () = stop.wait() => break,
         }
     }
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -115,6 +115,8 @@
         job.tried.push(key);
         let result = self.exchange(job, &mut placed, last_event).await;
         let took = self.clock.now().saturating_sub(started);
+        let end = result.as_ref().err().map(|failure| failure.end);
+        self.metrics.note_send(&job.service, end, placed.waited);
         match result {
             Ok((channel, response)) => {
                 job.note_send(&placed, Ok(()), took);
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -44,6 +44,7 @@
 use self::outcome::Outcome;
 use crate::config::Config;
 use crate::endpoints::Endpoints;
+use crate::metrics::GatewayMetrics;
 use crate::peers::PeerNews;
 use crate::reload::LiveSettings;
 use crate::reply::Refusal;
@@ -86,6 +87,8 @@
     pub suspects: Suspects,
     /// Memory for bodies of requests, in units of [`BODY_UNIT`].
     pub bytes: Arc<Semaphore>,
+    /// Counters and histograms.
+    pub metrics: GatewayMetrics,
     /// The other gateways.
     pub peers: PeerNews,
     /// The budget for sending requests once more.
@@ -96,6 +99,9 @@
     pub settings: LiveSettings,
 }
 
+/// Result of a request that got an endpoint's answer.
+const ANSWERED: &str = "answered";
+
 /// A refusal with the time after which the caller may come back.
 type Refused = (Refusal, Option<Duration>);
 
@@ -118,6 +124,8 @@
     fn refuse(&self, attempt: &str, refused: Refused, arrived: Duration) -> Response<ReplyBody> {
         let (refusal, after) = refused;
         let now = self.clock.now();
+        // Names that callers make up are no labels.
+        self.metrics.note_request("", refusal.code());
         info!(
             "event=refused request={attempt} reason={} status={} version={} proof_age_ms={} \
              retry_after_ms={} took_ms={}",
@@ -257,12 +265,17 @@
 
     fn finish(&self, job: &Job, outcome: Outcome) -> Response<ReplyBody> {
         let (result, response, after) = match outcome {
-            Outcome::Answer(response) => ("answered", response, None),
+            Outcome::Answer(response) => (ANSWERED, response, None),
             Outcome::Refused(refusal, after) => {
                 (refusal.code(), refusal.response(&job.head.attempt, after), after)
             }
         };
         let now = self.clock.now();
+        self.metrics.note_request(&job.service, result);
+        if result == ANSWERED {
+            self.metrics.note_first(&job.service, now.saturating_sub(job.arrived));
+            self.metrics.note_total(&job.service, now.saturating_sub(job.arrived));
+        }
         info!(
             "event=request request={} route={} service={} workspace={} result={result} status={} \
              sends=[{}] version={} proof_age_ms={} retry_after_ms={} took_ms={}",
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -24,6 +24,9 @@
 /// Pieces of a stream that wait for the caller to read.
 const PIECES_MAX: usize = 8;
 
+/// Result of a stream that came to its end.
+const COMPLETE: &str = "complete";
+
 /// A stream that is being passed on.
 struct Stream {
     forwarder: Forwarder,
@@ -80,7 +83,7 @@
             match self.pass(part).await {
                 PartEnd::Complete => {
                     self.forwarder.suspects.clear(self.job.fingerprint);
-                    break "complete";
+                    break COMPLETE;
                 }
                 PartEnd::Left => break "caller_left",
                 PartEnd::Expired => {
@@ -102,6 +105,12 @@
             }
         };
         let now = self.forwarder.clock.now();
+        let metrics = &self.forwarder.metrics;
+        metrics.note_request(&self.job.service, result);
+        metrics.note_first(&self.job.service, first.saturating_sub(self.job.arrived));
+        if result == COMPLETE {
+            metrics.note_total(&self.job.service, now.saturating_sub(self.job.arrived));
+        }
         info!(
             "event=stream_end request={} result={result} events={} last={} sends=[{}] first_ms={} \
              pause_ms={} took_ms={}",
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod forward;
 pub mod frontend;
+pub mod metrics;
 pub mod mirror;
 pub mod peers;
 pub mod planner;
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -41,6 +41,7 @@
 use crate::config::Config;
 use crate::endpoints::Endpoints;
 use crate::endpoints::GroupView;
+use crate::metrics::GatewayMetrics;
 use crate::peers::PeerNews;
 
 /// Kind of the objects that give duties.
@@ -105,6 +106,8 @@
     pub endpoints: Endpoints,
     /// The other gateways.
     pub peers: PeerNews,
+    /// Counters.
+    pub metrics: GatewayMetrics,
     /// Clock of the process.
     pub clock: BootClock,
 }
@@ -367,6 +370,7 @@
         let now = self.clock.now();
         let mut calls: Vec<Call> = Vec::new();
         if group.driver.phase() != group.phase {
+            self.metrics.note_switch(phase_name(group.driver.phase()));
             group.enter(now);
         }
         let stuck = matches!(group.phase, Phase::Holding | Phase::Arming | Phase::Disarming);
@@ -394,6 +398,7 @@
             _ => {}
         }
         if group.driver.phase() != group.phase {
+            self.metrics.note_switch(phase_name(group.driver.phase()));
             group.enter(now);
         }
         let map = group.next.as_deref().unwrap_or(&[]);
@@ -566,6 +571,22 @@
     Event::Planned(group, MapPlan { before, next, skew_before, skew_after })
 }
 
+/// Name of a phase in metrics.
+fn phase_name(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Fencing => "fencing",
+        Phase::Reading => "reading",
+        Phase::Clearing => "clearing",
+        Phase::Idle => "idle",
+        Phase::Preparing => "preparing",
+        Phase::Holding => "holding",
+        Phase::Arming => "arming",
+        Phase::Disarming => "disarming",
+        Phase::Releasing => "releasing",
+        Phase::Replaced => "replaced",
+    }
+}
+
 /// Experts that the rank with the most of them receives, over all sets.
 fn most_received(next: &[Placement], map: &[Placement]) -> usize {
     let ranks = next.first().map_or(0, |set| set.ranks.len());
--- a/crates/bw-gateway/src/reload.rs
+++ b/crates/bw-gateway/src/reload.rs
@@ -56,6 +56,7 @@
             region: current.region.clone(),
             callers: current.callers,
             ready: current.ready,
+            metrics: current.metrics,
             directory: current.directory,
             news: current.news,
             platform: current.platform.clone(),
--- a/crates/bw-gateway/src/settings.rs
+++ b/crates/bw-gateway/src/settings.rs
@@ -21,8 +21,10 @@
     pub region: Name,
     /// Address for callers.
     pub callers: SocketAddr,
-    /// Address at which the platform asks whether the gateway is ready; metrics are there, too.
+    /// Address at which the platform asks whether the gateway is ready.
     pub ready: SocketAddr,
+    /// Address for metrics; absent where nobody reads them.
+    pub metrics: Option<SocketAddr>,
     /// Address at which callers ask for addresses; absent where others answer them.
     pub directory: Option<SocketAddr>,
     /// Address for news of other gateways.
@@ -61,11 +63,26 @@
     pub log: String,
 }
 
+const ADDRESS: &str = "an address such as 10.0.0.7:7000";
+
+/// An address that may be left out or empty.
+fn optional_address(
+    section: &mut Section<'_>,
+    key: &'static str,
+    faults: &mut Faults,
+) -> Option<SocketAddr> {
+    let given = section.entry(key).is_some_and(|entry| !entry.value.is_empty());
+    if given {
+        section.required(key, ADDRESS, faults)
+    } else {
+        None
+    }
+}
+
 impl TryFrom<(&str, &IniFile)> for Settings {
     type Error = Faults;
 
     fn try_from((file, ini): (&str, &IniFile)) -> Result<Self, Faults> {
-        const ADDRESS: &str = "an address such as 10.0.0.7:7000";
         const NAME: &str = "a name of 1 to 63 letters, digits, '-', '_' or '.'";
         const MINUTE: u64 = 60_000;
         let mut faults = Faults::default();
@@ -77,10 +94,8 @@
         let region = section.required("region", NAME, &mut faults);
         let callers = section.required("callers", ADDRESS, &mut faults);
         let ready = section.required("ready", ADDRESS, &mut faults);
-        let directory = section
-            .entry("directory")
-            .filter(|entry| !entry.value.is_empty())
-            .map(|_| section.required("directory", ADDRESS, &mut faults));
+        let metrics = optional_address(&mut section, "metrics", &mut faults);
+        let directory = optional_address(&mut section, "directory", &mut faults);
         let news = section.required("news", ADDRESS, &mut faults);
         let mut seeds = Vec::new();
         for text in section.list("seeds") {
@@ -124,7 +139,8 @@
             region,
             callers,
             ready,
-            directory: directory.flatten(),
+            metrics,
+            directory,
             news,
             seeds,
             platform,
--- a/crates/bw-gateway/src/web.rs
+++ b/crates/bw-gateway/src/web.rs
@@ -18,8 +18,10 @@
 
 use crate::config::Config;
 use crate::endpoints::Endpoints;
+use crate::metrics::GatewayMetrics;
 use crate::peers::PeerNews;
 use crate::reload::LiveSettings;
+use crate::waiting::Waiting;
 
 /// Time for which callers may keep addresses at most; short, so that they soon miss a gateway that
 /// has vanished.
@@ -28,6 +30,10 @@
 /// What readiness depends on.
 #[derive(Clone)]
 pub struct Readiness {
+    /// Requests that wait for endpoints.
+    pub waiting: Waiting,
+    /// Counters and histograms.
+    pub metrics: GatewayMetrics,
     /// The configuration.
     pub config: Config,
     /// The endpoints.
@@ -49,18 +55,32 @@
     }
 }
 
-/// Routes for the platform's checks and for metrics.
-pub fn ready_routes(readiness: Readiness, metrics: Metrics) -> Router {
+impl Readiness {
+    /// Brings the metrics up to date that nothing else sets.
+    fn measure(&self) {
+        let proof = self.config.proof_age(self.clock.now());
+        self.metrics.set_state(self.waiting.len(), self.config.version().0, proof);
+    }
+}
+
+/// Routes for the platform's checks.
+pub fn ready_routes(readiness: Readiness) -> Router {
     let ready = move |_: Request| {
         let status =
             if readiness.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         async move { Ok(text_reply(status, String::new())) }
     };
+    Router::new().get(READY_PATH, ready)
+}
+
+/// Routes for metrics.
+pub fn metrics_routes(readiness: Readiness, metrics: Metrics) -> Router {
     let render = move |_: Request| {
+        readiness.measure();
         let text = metrics.render();
         async move { Ok(text) }
     };
-    Router::new().get(READY_PATH, ready).get("/metrics", render)
+    Router::new().get("/metrics", render)
 }
 
 /// Routes for callers that ask where to connect.
--- a/crates/bw-gateway/tests/common/mod.rs
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -125,6 +125,7 @@
         region: "r".parse().unwrap(),
         callers: loopback(),
         ready: loopback(),
+        metrics: Some(loopback()),
         directory: None,
         news: loopback(),
         seeds: Vec::new(),
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -182,3 +182,23 @@
     let (reply, ()) = tokio::join!(common::read_reply(response), rig.stop());
     assert!(reply.body.is_some_and(|body| body.contains("id: 40")));
 }
+
+#[tokio::test]
+async fn metrics_count_requests_and_measure_their_times() {
+    let rig = Rig::start(&[fine()]).await;
+    rig.call("GET", "/status/1", "").await;
+    rig.call("GET", "/unknown/1", "").await;
+    let url = format!("http://{}/metrics", rig.settings.metrics.unwrap());
+    let client = bw_http::Client::new();
+    let reply = client.get(&url, std::time::Duration::from_secs(5)).await.unwrap();
+    let text = String::from_utf8(reply.body.to_vec()).unwrap();
+    for line in [
+        "bw_gateway_requests_total{result=\"answered\",service=\"tools\"} 1",
+        "bw_gateway_requests_total{result=\"no_route\",service=\"\"} 1",
+        "bw_gateway_request_seconds_count{service=\"tools\"} 1",
+        "bw_gateway_config_version 1",
+    ] {
+        assert!(text.contains(line), "{line} is missing in\n{text}");
+    }
+    rig.stop().await;
+}
