Serve requests that can be in time first; change maps where steps come near the timely pause

Cause: after each recovery a backlog stood for ten seconds and more, first come, first served, so that every request was late though all were served. A rank that had become twelve times slower went on getting its share of requests, which made every step of its group longer.

Change: within a workspace, and between workspaces of equal rank, requests whose answer can still begin in time go first; a rank twice as slow as it should be gets no work while others may; maps change from 0.45 of the timely pause on, for 0.20 of the mean load from 0.65 on.

--- a/crates/bw-direct/src/place.rs
+++ b/crates/bw-direct/src/place.rs
@@ -19,6 +19,9 @@
 const PROMPT_UNIT: f64 = 2_000.0;
 /// Score added for an endpoint in another data centre; breaks ties between equal loads.
 const FAR: f64 = 0.02;
+/// Factor from which a slow endpoint gets no new work while others may: in a group whose ranks
+/// advance together it would make the requests of all ranks wait.
+const SLOW_MAX: f64 = 2.0;
 /// Largest random part of a score.
 const NOISE: f64 = 0.05;
 
@@ -52,6 +55,10 @@
         self.work.requests < self.slots
     }
 
+    fn is_slow(&self) -> bool {
+        self.slowness >= SLOW_MAX
+    }
+
     fn has_free_home(&self) -> bool {
         self.own < self.homes && self.is_free()
     }
@@ -71,6 +78,9 @@
 where
     R: Rng,
 {
+    let all_slow = candidates.iter().all(Candidate::is_slow);
+    let candidates: SmallVec<[Candidate; 16]> =
+        candidates.iter().copied().filter(|one| all_slow || !one.is_slow()).collect();
     let homes: SmallVec<[Candidate; 16]> =
         candidates.iter().copied().filter(Candidate::has_free_home).collect();
     if let Some(home) = least(&homes, random) {
--- a/crates/bw-direct/tests/place.rs
+++ b/crates/bw-direct/tests/place.rs
@@ -142,3 +142,16 @@
         prop_assert!(most - least <= 1, "{least} to {most}");
     }
 }
+
+/// One rank of a group has become twelve times slower; every request there makes all ranks wait.
+#[test]
+fn a_rank_that_delays_its_group_gets_no_work_while_others_may() {
+    let mut random = SmallRng::seed_from_u64(3);
+    let slow = Candidate { slowness: 12.0, ..candidate(0, 0, 0, 2) };
+    for _ in 0..100 {
+        let chosen = place(&[slow, candidate(1, 3, 3, 1)], &mut random);
+        assert_eq!(chosen.unwrap().0.key, EndpointKey::from_index(1));
+    }
+    assert!(place(&[slow, candidate(1, 4, 0, 1)], &mut random).is_none(), "waits for a sound one");
+    assert!(place(&[slow], &mut random).is_some(), "one that is slow is better than none");
+}
--- a/crates/bw-entry/src/queue.rs
+++ b/crates/bw-entry/src/queue.rs
@@ -104,6 +104,8 @@
             workspace: candidate.workspace,
             order: candidate.order,
             share: candidate.share,
+            // Pools have no target latency.
+            timely: candidate.deadline,
             deadline: candidate.deadline,
         };
         let now = self.routing.now();
--- a/crates/bw-gateway/src/forward/job.rs
+++ b/crates/bw-gateway/src/forward/job.rs
@@ -78,6 +78,7 @@
             service: self.service.clone(),
             workspace: rendezvous_weight("workspace", self.workspace.as_deref().unwrap_or("")),
             order: self.order,
+            target: since + self.route().target,
             deadline: self.deadline.min(useful),
             prompt: self.prompt(),
             exclude: self.tried.clone(),
--- a/crates/bw-gateway/src/planner.rs
+++ b/crates/bw-gateway/src/planner.rs
@@ -82,11 +82,11 @@
 const STEPS_AHEAD_MAX: u64 = 10;
 /// Part of the mean load that a new map has to save on the busiest rank, averaged over the sets,
 /// while steps are short against the longest timely pause.
-const GAIN_MIN: f64 = 0.35;
+const GAIN_MIN: f64 = 1.0;
 /// The same while steps are so long that callers are close to being late.
-const GAIN_URGENT: f64 = 0.10;
+const GAIN_URGENT: f64 = 0.20;
 /// Parts of the longest timely pause that steps take, between which the gain falls.
-const URGENCY: (f64, f64) = (0.35, 0.65);
+const URGENCY: (f64, f64) = (0.45, 0.65);
 /// Part of the mean load that a received expert has to save on the busiest rank of its set.
 const COPY_PRICE: f64 = 0.015;
 /// Time between two questions whether a rank has received its experts.
--- a/crates/bw-gateway/src/waiting.rs
+++ b/crates/bw-gateway/src/waiting.rs
@@ -25,6 +25,8 @@
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
 /// Spread of that time, as parts of the expected wait; keeps one wave from becoming two.
 const RETRY_SPREAD: (f64, f64) = (0.8, 1.6);
+/// Weight of the newest time to an answer in the mean one: about the last 20 answers count.
+const ANSWER_WEIGHT: f64 = 0.05;
 
 /// What is known of a request that asks for an endpoint.
 #[derive(Clone, Debug)]
@@ -35,6 +37,8 @@
     pub workspace: u64,
     /// Service order; a lower number goes first.
     pub order: u8,
+    /// When its answer should begin.
+    pub target: Duration,
     /// Latest useful start.
     pub deadline: Duration,
     /// Tokens of its prompt.
@@ -57,6 +61,15 @@
 struct Lane {
     admission: Admission<u64>,
     waiters: HashMap<Ticket, Waiter>,
+    /// Mean time from a request's start at an endpoint to the begin of its answer.
+    answer: Duration,
+}
+
+impl Lane {
+    fn note_answer(&mut self, took: Duration) {
+        let known = if self.answer.is_zero() { took } else { self.answer };
+        self.answer = known.mul_f64(1.0 - ANSWER_WEIGHT) + took.mul_f64(ANSWER_WEIGHT);
+    }
 }
 
 #[derive(Default)]
@@ -81,6 +94,8 @@
     /// Time for which the request waited.
     pub waited: Duration,
     waiting: Waiting,
+    service: String,
+    placed: Duration,
     prompt: u32,
 }
 
@@ -89,6 +104,10 @@
     pub fn answered(&mut self) {
         self.waiting.endpoints.answer(self.chosen.key, self.prompt);
         self.prompt = 0;
+        let took = self.waiting.clock.now().saturating_sub(self.placed);
+        if let Some(lane) = self.waiting.lock().lanes.get_mut(&self.service) {
+            lane.note_answer(took);
+        }
     }
 }
 
@@ -186,7 +205,7 @@
     fn serve_next(&self, state: &mut State) -> Option<(oneshot::Sender<Placed>, Placed)> {
         let now = self.clock.now();
         for lane in state.lanes.values_mut() {
-            let Some(ticket) = lane.admission.peek() else { continue };
+            let Some(ticket) = lane.admission.peek(now) else { continue };
             let Some(waiter) = lane.waiters.get(&ticket) else { continue };
             let Some(placed) = self.try_place(&waiter.ask, Duration::ZERO) else { continue };
             lane.admission.next(now);
@@ -204,7 +223,14 @@
     fn try_place(&self, ask: &Ask, waited: Duration) -> Option<Placed> {
         let now = self.clock.now();
         let chosen = self.endpoints.place(&ask.service, &ask.exclude, ask.prompt, now)?;
-        Some(Placed { chosen, waited, waiting: self.clone(), prompt: ask.prompt })
+        Some(Placed {
+            chosen,
+            waited,
+            waiting: self.clone(),
+            service: ask.service.clone(),
+            placed: now,
+            prompt: ask.prompt,
+        })
     }
 
     fn enqueue(
@@ -215,14 +241,15 @@
         let mut state = self.lock();
         state.tickets += 1;
         let ticket = state.tickets;
+        let lane = state.lanes.entry(ask.service.clone()).or_default();
         let offer = Offer {
             ticket,
             workspace: ask.workspace,
             order: ask.order,
             share: 1,
+            timely: ask.target.saturating_sub(lane.answer),
             deadline: ask.deadline,
         };
-        let lane = state.lanes.entry(ask.service.clone()).or_default();
         if let Offered::Refused(wait) = lane.admission.offer(offer, now) {
             return Err(TurnedAway(spread(wait.max(RETRY_AFTER_MIN))));
         }
--- a/crates/bw-route/src/admission.rs
+++ b/crates/bw-route/src/admission.rs
@@ -5,6 +5,9 @@
 //! whose tag has been reached is within its workspace's share; among those the lower service order
 //! goes first. Requests beyond the share follow by tag, whatever their order, so that no workspace
 //! harms one that keeps to its share.
+//!
+//! Among requests of equal rank those that can still be answered in time go before those that are
+//! late already. First come, first served would make every answer late while a backlog drains.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -29,6 +32,8 @@
     pub order: u8,
     /// Weight of the workspace.
     pub share: u32,
+    /// Latest start for an answer in time.
+    pub timely: Duration,
     /// Latest useful start.
     pub deadline: Duration,
 }
@@ -42,22 +47,41 @@
     Refused(Duration),
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Waiting<K> {
-    offer: Offer<K>,
-    start: f64,
-}
-
 #[derive(Clone, Debug)]
 struct Lane<K> {
-    waiting: VecDeque<Waiting<K>>,
+    waiting: VecDeque<Offer<K>>,
+    /// Start tags, one for each waiting request; whichever goes next takes the first.
+    starts: VecDeque<f64>,
     /// End tag of the last request.
     finish: f64,
 }
 
 impl<K> Default for Lane<K> {
     fn default() -> Self {
-        Self { waiting: VecDeque::new(), finish: 0.0 }
+        Self { waiting: VecDeque::new(), starts: VecDeque::new(), finish: 0.0 }
+    }
+}
+
+impl<K> Lane<K> {
+    /// Place of the request that goes next: the first that can be in time, else the first.
+    fn head(&self, now: Duration) -> usize {
+        self.waiting.iter().position(|offer| now <= offer.timely).unwrap_or(0)
+    }
+
+    /// Takes out the request at a place, with the first tag.
+    fn take(&mut self, place: usize) -> Option<(Offer<K>, f64)> {
+        Some((self.waiting.remove(place)?, self.starts.pop_front()?))
+    }
+
+    /// Takes out requests for which `leaves` holds; the last tags go with them.
+    fn drain<F>(&mut self, mut leaves: F) -> usize
+    where
+        F: FnMut(&Offer<K>) -> bool,
+    {
+        let before = self.waiting.len();
+        self.waiting.retain(|offer| !leaves(offer));
+        self.starts.truncate(self.waiting.len());
+        before - self.waiting.len()
     }
 }
 
@@ -107,29 +131,30 @@
         let lane = self.lanes.entry(offer.workspace).or_default();
         let start = lane.finish.max(virtual_time);
         lane.finish = start + 1.0 / f64::from(offer.share.max(1));
-        lane.waiting.push_back(Waiting { offer, start });
+        lane.waiting.push_back(offer);
+        lane.starts.push_back(start);
         self.waiting += 1;
         Offered::Queued
     }
 
     /// Takes the request that goes next.
     pub fn next(&mut self, now: Duration) -> Option<Ticket> {
-        let workspace = self.next_lane()?;
+        let workspace = self.next_lane(now)?;
         let lane = self.lanes.get_mut(&workspace)?;
-        let waiting = lane.waiting.pop_front()?;
+        let (offer, start) = lane.take(lane.head(now))?;
         self.waiting -= 1;
-        self.virtual_time = self.virtual_time.max(waiting.start);
+        self.virtual_time = self.virtual_time.max(start);
         if lane.waiting.is_empty() && lane.finish <= self.virtual_time {
             self.lanes.remove(&workspace);
         }
         self.note_admission(now);
-        Some(waiting.offer.ticket)
+        Some(offer.ticket)
     }
 
     /// The request that goes next.
-    pub fn peek(&self) -> Option<Ticket> {
-        let lane = self.lanes.get(&self.next_lane()?)?;
-        lane.waiting.front().map(|waiting| waiting.offer.ticket)
+    pub fn peek(&self, now: Duration) -> Option<Ticket> {
+        let lane = self.lanes.get(&self.next_lane(now)?)?;
+        lane.waiting.get(lane.head(now)).map(|offer| offer.ticket)
     }
 
     /// Removes a request whose caller has left.
@@ -137,9 +162,7 @@
         let Some(lane) = self.lanes.get_mut(&workspace) else {
             return false;
         };
-        let before = lane.waiting.len();
-        lane.waiting.retain(|waiting| waiting.offer.ticket != ticket);
-        let removed = before - lane.waiting.len();
+        let removed = lane.drain(|offer| offer.ticket == ticket);
         self.waiting -= removed;
         removed > 0
     }
@@ -149,23 +172,22 @@
     pub fn shed(&mut self, now: Duration) -> Vec<Ticket> {
         let mut shed = Vec::new();
         for lane in self.lanes.values_mut() {
-            lane.waiting.retain(|waiting| {
-                let late = waiting.offer.deadline <= now;
+            lane.drain(|offer| {
+                let late = offer.deadline <= now;
                 if late {
-                    shed.push(waiting.offer.ticket);
+                    shed.push(offer.ticket);
                 }
-                !late
+                late
             });
         }
         self.waiting -= shed.len();
         while self.waiting > QUEUE_MAX {
-            let last =
-                |lane: &Lane<K>| lane.waiting.back().map_or(f64::MIN, |waiting| waiting.start);
+            let last = |lane: &Lane<K>| lane.starts.back().copied().unwrap_or(f64::MIN);
             let furthest = self.lanes.values_mut().max_by(|a, b| last(a).total_cmp(&last(b)));
-            let Some(waiting) = furthest.and_then(|lane| lane.waiting.pop_back()) else {
-                break;
-            };
-            shed.push(waiting.offer.ticket);
+            let Some(lane) = furthest else { break };
+            let Some(offer) = lane.waiting.pop_back() else { break };
+            lane.starts.pop_back();
+            shed.push(offer.ticket);
             self.waiting -= 1;
         }
         shed
@@ -177,7 +199,7 @@
     pub fn expected_wait(&self, offer: &Offer<K>, now: Duration) -> Duration {
         let lane = self.lanes.get(&offer.workspace);
         let start = lane.map_or(self.virtual_time, |lane| lane.finish.max(self.virtual_time));
-        let before = |lane: &Lane<K>| lane.waiting.iter().filter(|w| w.start <= start).count();
+        let before = |lane: &Lane<K>| lane.starts.iter().filter(|tag| **tag <= start).count();
         let ahead: usize = self.lanes.values().map(before).sum();
         let standstill = match self.admitted {
             Some(admitted) if self.waiting > 0 => now.saturating_sub(admitted),
@@ -186,19 +208,17 @@
         Duration::from_secs_f64(self.gap * ahead as f64).max(standstill)
     }
 
-    fn next_lane(&self) -> Option<K> {
-        let heads =
-            self.lanes.iter().filter_map(|(key, lane)| Some((*key, *lane.waiting.front()?)));
-        let rank = |waiting: &Waiting<K>| {
-            let within = waiting.start <= self.virtual_time;
-            let order = if within { waiting.offer.order } else { u8::MAX };
-            (!within, order, waiting.start)
-        };
-        let less = |a: &(K, Waiting<K>), b: &(K, Waiting<K>)| {
-            let ((a_out, a_order, a_start), (b_out, b_order, b_start)) = (rank(&a.1), rank(&b.1));
-            (a_out, a_order).cmp(&(b_out, b_order)).then(a_start.total_cmp(&b_start))
-        };
-        heads.min_by(less).map(|(key, _)| key)
+    fn next_lane(&self, now: Duration) -> Option<K> {
+        let heads = self.lanes.iter().filter_map(|(key, lane)| {
+            let (offer, start) = (lane.waiting.get(lane.head(now))?, *lane.starts.front()?);
+            let within = start <= self.virtual_time;
+            let order = if within { offer.order } else { u8::MAX };
+            Some((*key, (!within, order, now > offer.timely), start))
+        });
+        let first = heads.min_by(|(_, a_rank, a_start), (_, b_rank, b_start)| {
+            a_rank.cmp(b_rank).then(a_start.total_cmp(b_start))
+        });
+        first.map(|(key, _, _)| key)
     }
 
     fn note_admission(&mut self, now: Duration) {
--- a/crates/bw-route/tests/admission.rs
+++ b/crates/bw-route/tests/admission.rs
@@ -17,7 +17,8 @@
 
 fn offer(ticket: u64, workspace: u32, order: u8, share: u32) -> Offer<WorkspaceKey> {
     let deadline = Duration::from_secs(100);
-    Offer { ticket, workspace: WorkspaceKey::from_index(workspace), order, share, deadline }
+    let workspace = WorkspaceKey::from_index(workspace);
+    Offer { ticket, workspace, order, share, timely: deadline, deadline }
 }
 
 #[test]
@@ -115,3 +116,42 @@
         prop_assert_eq!(served, (0..count as u64).collect::<Vec<_>>());
     }
 }
+
+/// A backlog that takes longer to drain than answers may take, while requests go on arriving as
+/// fast as they are served: the load that follows each recovery.
+#[test]
+fn a_backlog_does_not_make_all_later_answers_late() {
+    let target = Duration::from_millis(400);
+    let step = Duration::from_millis(20);
+    let mut admission = Admission::new();
+    let arrived = |ticket: u64| step * ticket.saturating_sub(1_000) as u32;
+    let arrive = |ticket: u64, admission: &mut Admission<WorkspaceKey>| {
+        let ask = offer(ticket, (ticket % 3) as u32, 0, 1);
+        admission.offer(Offer { timely: arrived(ticket) + target, ..ask }, arrived(ticket));
+    };
+    for ticket in 0..60 {
+        arrive(ticket, &mut admission);
+    }
+    let mut late = 0;
+    for turn in 0..300 {
+        let now = step * turn;
+        arrive(1_000 + u64::from(turn), &mut admission);
+        let ticket = admission.next(now).unwrap();
+        late += usize::from(now > arrived(ticket) + target);
+    }
+    assert!(late <= 40, "{late} of 300 late for a backlog of 60 of which 20 could be in time");
+}
+
+#[test]
+fn requests_that_are_late_go_when_none_can_be_in_time() {
+    let mut admission = Admission::new();
+    for ticket in 0..3 {
+        let ask = offer(ticket, 1, 0, 1);
+        admission.offer(Offer { timely: Duration::from_millis(400), ..ask }, Duration::ZERO);
+    }
+    let now = Duration::from_secs(1);
+    let ask = offer(9, 1, 0, 1);
+    admission.offer(Offer { timely: now + Duration::from_millis(400), ..ask }, now);
+    let order: Vec<_> = std::iter::from_fn(|| admission.next(now)).collect();
+    assert_eq!(order, [9, 0, 1, 2]);
+}
