--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -278,13 +278,14 @@
         }
         info!(
             "event=request request={} route={} service={} workspace={} result={result} status={} \
-             sends=[{}] version={} proof_age_ms={} retry_after_ms={} took_ms={}",
+             sends=[{}] waiting={} version={} proof_age_ms={} retry_after_ms={} took_ms={}",
             job.head.attempt,
             job.route().name,
             job.service,
             job.workspace.as_deref().unwrap_or("-"),
             response.status().as_u16(),
             job.trace.trim_end(),
+            self.waiting.len(),
             job.catalog.version,
             self.config.proof_age(now).map_or(-1, |age| age.as_millis() as i64),
             after.map_or(-1, |after| after.as_millis() as i64),
