Hear of newer versions while the source is silent or a try is put off

Cause: a gateway that had failed to reach the store paused before its next try, the longer the later it stands in its data centre's order, up to 5.6 s for the ninth, and heard nothing meanwhile: neither peers with newer versions nor that another gateway sees the store again. One that started in an outage took no configuration from peers at all. Besides, taking a version from a peer counted as an answer of the store, so that a blind gateway could pass for one that sees it.

Ruled out: old proofs taken for fresh (each is bound to a stamp of the receiver), a stale list of the store (none is asked for).

Change: newer versions and changes of the list are taken from peers during calls and pauses; a pause ends when another source is to be chosen; only the source's own answers count as its answers; a peer's list older than what is known is left out.

Test: a_gateway_that_waits_to_try_the_store_again_hears_of_newer_versions, which hangs without the change.

--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -188,6 +188,11 @@
         }
     }
 
+    /// Revision up to which changes of the list of endpoints are known.
+    pub fn listing_known(&self) -> u64 {
+        self.lock().listing.1
+    }
+
     /// Notes that a peer knows a change of the list, and asks for it when it is not known here.
     fn hear_listing(&self, revision: u64, peer: SocketAddr) {
         let mut state = self.lock();
--- a/crates/bw-gateway/src/sync/config.rs
+++ b/crates/bw-gateway/src/sync/config.rs
@@ -1,7 +1,9 @@
 //! Follows the configuration.
 
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use bw_adapter::catalog;
@@ -12,9 +14,9 @@
 use bw_platform::StoreError;
 use log::warn;
 
-use super::pause;
 use super::source::Feed;
 use super::Sync;
+use super::Turn;
 use super::Upstream;
 
 impl Sync {
@@ -36,22 +38,37 @@
         loop {
             self.choose_source(&mut upstream);
             let result = match revision {
-                None => self.list_config(&upstream).await,
-                Some(revision) => self.watch_config(&upstream, revision).await,
+                None => self.hearing_peers(self.list_config(&upstream)).await,
+                Some(revision) => self.hearing_peers(self.watch_config(&upstream, revision)).await,
             };
             self.note(&mut upstream, &result);
             revision = match result {
-                Ok(next) => Some(next),
+                Ok(turn) => Some(turn.revision()),
                 Err(StoreError::HistoryGone) => None,
                 Err(_) => {
-                    pause(upstream.retry).await;
+                    self.hearing_peers(self.rest(&upstream)).await;
                     None
                 }
             };
         }
     }
 
-    async fn list_config(&self, upstream: &Upstream) -> Result<u64, StoreError> {
+    /// Does what waits for a source, and meanwhile takes newer versions from peers that have them:
+    /// a gateway whose source is silent, or who pauses after a failure, must not fall behind.
+    async fn hearing_peers<F>(&self, work: F) -> F::Output
+    where
+        F: Future,
+    {
+        let mut work = pin!(work);
+        loop {
+            tokio::select! {
+                result = &mut work => return result,
+                peer = self.config.behind() => self.fetch_config(peer).await,
+            }
+        }
+    }
+
+    async fn list_config(&self, upstream: &Upstream) -> Result<Turn, StoreError> {
         let sent = self.clock.now();
         let (list, revision) = upstream.feed.list(catalog::KIND).await?;
         let proof = upstream.feed.is_store().then_some(sent);
@@ -59,22 +76,18 @@
             self.take_config(object, proof);
         }
         self.relay.replace(catalog::KIND, list, revision, &[]);
-        Ok(revision)
+        Ok(Turn::Answered(revision))
     }
 
-    /// Waits for a change, for a newer version that a peer has, or for another source.
-    async fn watch_config(&self, upstream: &Upstream, revision: u64) -> Result<u64, StoreError> {
+    /// Waits for a change or for another source.
+    async fn watch_config(&self, upstream: &Upstream, revision: u64) -> Result<Turn, StoreError> {
         let sent = self.clock.now();
         let version = self.config.version();
         let wait = self.wait(upstream);
         let changes = tokio::select! {
             changes = upstream.feed.watch(catalog::KIND, revision, wait) => changes?,
-            peer = self.config.behind() => {
-                self.fetch_config(peer).await;
-                return Ok(revision);
-            }
             // The revision holds at another source, too: what that one tells of later is newer.
-            () = self.source_changed(upstream) => return Ok(revision),
+            () = self.source_changed(upstream) => return Ok(Turn::Unanswered(revision)),
         };
         let proof = upstream.feed.is_store().then_some(sent);
         if let (Some(proof), true) = (proof, changes.events.is_empty() && changes.unreadable == 0) {
@@ -84,7 +97,7 @@
             self.take_config(&change.object, proof);
         }
         self.relay.take(catalog::KIND, changes.events, changes.revision);
-        Ok(changes.revision)
+        Ok(Turn::Answered(changes.revision))
     }
 
     /// Takes a newer version from a peer that has it.
--- a/crates/bw-gateway/src/sync/endpoints.rs
+++ b/crates/bw-gateway/src/sync/endpoints.rs
@@ -1,6 +1,7 @@
 //! Follows the list of endpoints.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::time::Duration;
 
 use bw_adapter::endpoints as listing;
@@ -13,9 +14,9 @@
 use bw_platform::StoreError;
 use log::warn;
 
-use super::pause;
 use super::source::Feed;
 use super::Sync;
+use super::Turn;
 use super::Upstream;
 
 /// Pause after a change before the next ones are asked for.
@@ -40,44 +41,82 @@
         loop {
             self.choose_source(&mut upstream);
             let result = match revision {
-                None => self.list_endpoints(&upstream).await,
+                None => self.list_endpoints(&upstream.feed).await.map(Turn::Answered),
                 Some(revision) => self.watch_endpoints(&upstream, revision).await,
             };
             self.note(&mut upstream, &result);
             revision = match result {
                 // Entries that have not come back by now are gone: the whole list tells which.
                 Ok(_) if self.endpoints.has_overdue_lapse(self.clock.now()) => None,
-                Ok(next) => Some(next),
+                Ok(turn) => Some(turn.revision()),
                 Err(StoreError::HistoryGone) => None,
                 Err(_) => {
-                    pause(upstream.retry).await;
+                    self.rest_hearing_peers(&upstream, revision).await;
                     None
                 }
             };
         }
     }
 
+    /// Pauses after a failed call, and meanwhile takes changes from peers that know them.
+    async fn rest_hearing_peers(&self, upstream: &Upstream, revision: Option<u64>) {
+        let mut revision = revision;
+        let mut rest = pin!(self.rest(upstream));
+        loop {
+            let peer = tokio::select! {
+                () = &mut rest => return,
+                peer = self.peers.listing_behind() => peer,
+            };
+            let feed = Feed::peer(peer);
+            let result = match revision {
+                None => self.list_endpoints(&feed).await,
+                Some(known) => self.fetch_changes(&feed, known).await,
+            };
+            match result {
+                Ok(next) => revision = Some(next),
+                Err(StoreError::HistoryGone) => revision = None,
+                // The peer's next news asks again.
+                Err(error) => warn!("event=endpoints_unfetched peer={peer} reason=\"{error}\""),
+            }
+        }
+    }
+
+    /// Takes the changes that a peer knows already.
+    async fn fetch_changes(&self, feed: &Feed, revision: u64) -> Result<u64, StoreError> {
+        let changes = feed.watch(listing::KIND, revision, Duration::ZERO).await?;
+        let (next, changed) = (changes.revision, !changes.events.is_empty());
+        self.take_changes(false, changes.events, next);
+        self.peers.note_listing(next, changed);
+        Ok(next)
+    }
+
     /// Waits for a change, for one that a peer knows already, or for another source.
-    async fn watch_endpoints(&self, upstream: &Upstream, revision: u64) -> Result<u64, StoreError> {
+    async fn watch_endpoints(
+        &self,
+        upstream: &Upstream,
+        revision: u64,
+    ) -> Result<Turn, StoreError> {
         let wait = self.next_wait(upstream);
-        let (changes, direct) = tokio::select! {
-            changes = upstream.feed.watch(listing::KIND, revision, wait) => {
-                (changes?, upstream.feed.is_store())
-            }
+        let changes = tokio::select! {
+            changes = upstream.feed.watch(listing::KIND, revision, wait) => changes?,
             peer = self.peers.listing_behind() => {
-                let changes = Feed::peer(peer).watch(listing::KIND, revision, Duration::ZERO).await;
-                (changes?, false)
+                let known = self.fetch_changes(&Feed::peer(peer), revision).await;
+                return Ok(Turn::Unanswered(known.unwrap_or_else(|error| {
+                    // The peer's next news asks again.
+                    warn!("event=endpoints_unfetched peer={peer} reason=\"{error}\"");
+                    revision
+                })));
             }
-            () = self.source_changed(upstream) => return Ok(revision),
+            () = self.source_changed(upstream) => return Ok(Turn::Unanswered(revision)),
         };
         let (next, changed) = (changes.revision, !changes.events.is_empty());
-        self.take_changes(direct, changes.events, next);
+        self.take_changes(upstream.feed.is_store(), changes.events, next);
         self.peers.note_listing(next, changed);
         if changed {
             // Entries often change together, as when all start: one call then brings them all.
             tokio::time::sleep(COLLECT_FOR).await;
         }
-        Ok(next)
+        Ok(Turn::Answered(next))
     }
 
     /// Time for the next watch; short while lapsed entries have to be looked at again.
@@ -89,8 +128,11 @@
         }
     }
 
-    async fn list_endpoints(&self, upstream: &Upstream) -> Result<u64, StoreError> {
-        let (list, revision) = upstream.feed.list(listing::KIND).await?;
+    async fn list_endpoints(&self, feed: &Feed) -> Result<u64, StoreError> {
+        let (list, revision) = feed.list(listing::KIND).await?;
+        if !feed.is_store() && revision < self.peers.listing_known() {
+            return Err(StoreError::Unavailable("the peer's list is older".to_string()));
+        }
         let decoded = list.iter().filter_map(decode_entry).collect();
         let now = self.clock.now();
         self.endpoints.note_source_up(now);
--- a/crates/bw-gateway/src/sync/mod.rs
+++ b/crates/bw-gateway/src/sync/mod.rs
@@ -72,6 +72,23 @@
     lost: Option<Duration>,
 }
 
+/// What one turn of following a source brought.
+#[derive(Clone, Copy)]
+enum Turn {
+    /// The source itself answered; changes are known up to this revision.
+    Answered(u64),
+    /// It has not answered yet; changes are known up to this revision by other means.
+    Unanswered(u64),
+}
+
+impl Turn {
+    fn revision(self) -> u64 {
+        match self {
+            Self::Answered(revision) | Self::Unanswered(revision) => revision,
+        }
+    }
+}
+
 impl Upstream {
     fn new(what: &'static str, store: &Store) -> Self {
         let feed = Feed::Store(store.clone());
@@ -135,21 +152,30 @@
         };
     }
 
+    /// Pauses after a failed call, or until another source has to be chosen.
+    async fn rest(&self, upstream: &Upstream) {
+        tokio::select! {
+            () = pause(upstream.retry) => {}
+            () = self.source_changed(upstream) => {}
+        }
+    }
+
     /// Logs when the source is lost and when it is back.
-    fn note<T>(&self, upstream: &mut Upstream, result: &Result<T, StoreError>) {
+    fn note(&self, upstream: &mut Upstream, result: &Result<Turn, StoreError>) {
         let now = self.clock.now();
         let what = upstream.what;
         let source = upstream.peer.map_or("store".to_string(), |peer| peer.to_string());
-        if result.is_ok() && upstream.feed.is_store() {
+        if matches!(result, Ok(Turn::Answered(_))) && upstream.feed.is_store() {
             self.peers.note_store(now);
         }
         match (result, upstream.lost) {
-            (Ok(_), Some(since)) => {
+            (Ok(Turn::Unanswered(_)), _) => {}
+            (Ok(Turn::Answered(_)), Some(since)) => {
                 let away = now.saturating_sub(since).as_millis();
                 info!("event=dependency_regained dependency={source} what={what} away_ms={away}");
                 upstream.lost = None;
             }
-            (Ok(_), None) | (Err(StoreError::HistoryGone), _) => {}
+            (Ok(Turn::Answered(_)), None) | (Err(StoreError::HistoryGone), _) => {}
             (Err(error), known) => {
                 if upstream.feed.is_store() {
                     self.endpoints.note_source_down();
--- a/crates/bw-gateway/tests/common/mod.rs
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -18,8 +18,12 @@
 use bw_direct::catalog::Workspace;
 use bw_direct::endpoint::Endpoint;
 use bw_direct::endpoint::Phase;
+use bw_direct::peers::add_echo;
+use bw_direct::peers::News;
+use bw_direct::peers::PeerAddress;
 use bw_fake::endpoint::Act;
 use bw_fake::endpoint::FakeEndpoint;
+use bw_fake::platform::Faults;
 use bw_fake::platform::Platform;
 use bw_gateway::app;
 use bw_gateway::Settings;
@@ -27,6 +31,8 @@
 use bw_http::Liveness;
 use bw_kernel::Kernel;
 use bw_kernel::Stop;
+use bw_member::PeerState;
+use bw_model::Incarnation;
 use bw_model::Version;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -34,6 +40,7 @@
 use hyper::body::Incoming;
 use hyper::Request;
 use hyper::Response;
+use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
 pub const HOST: &str = "shop.example";
@@ -175,6 +182,13 @@
         rig
     }
 
+    /// Another gateway of the same deployment whose door to the store is shut with `faults`.
+    pub async fn start_shut(&self, instance: &str, faults: Faults) -> Self {
+        let door = self.platform.another_door();
+        door.set_faults(faults);
+        Self::join(instance, door, self.endpoints.clone()).await
+    }
+
     async fn join(instance: &str, platform: Platform, endpoints: Vec<FakeEndpoint>) -> Self {
         let listener = bw_http::bind(loopback()).await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -187,6 +201,12 @@
         Self { platform, endpoints, settings, kernel, store }
     }
 
+    /// Sends the gateway news as a peer does.
+    pub async fn tell(&self, socket: &UdpSocket, news: &News) {
+        let datagram = add_echo(&bw_proto::encode(news).unwrap(), 0);
+        socket.send_to(&datagram, self.settings.news).await.unwrap();
+    }
+
     /// Waits until the gateway says that it is ready.
     pub async fn wait_ready(&self) {
         let client = bw_http::Client::new();
@@ -244,6 +264,36 @@
     }
 }
 
+/// News of a peer that has a configuration of this version and has never seen the store.
+pub fn news(instance: &str, centre: &str, address: SocketAddr, version: u64, seq: u64) -> News {
+    let address = PeerAddress {
+        instance: instance.to_string(),
+        centre: centre.to_string(),
+        callers: address,
+        news: address,
+    };
+    News {
+        state: PeerState {
+            instance: instance.to_string(),
+            incarnation: Incarnation(1),
+            seq,
+            leaving: false,
+            version: Version(version),
+        },
+        address,
+        stamp: seq,
+        ready: true,
+        proof: None,
+        store: None,
+        listing: 0,
+        duty: None,
+        paces: Vec::new(),
+        works: Vec::new(),
+        suspects: Vec::new(),
+        others: Vec::new(),
+    }
+}
+
 /// A caller's request.
 pub fn request(method: &str, path: &str, body: &str, attempt: &str) -> Request<Full<Bytes>> {
     let request = Request::builder().method(method).uri(path).header("host", HOST);
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use bw_adapter::stand_in::endpoint::listing_object;
 use bw_direct::catalog::RouteKind;
 use bw_direct::catalog::Workspace;
@@ -13,8 +15,10 @@
 use bw_fake::platform::Faults;
 use common::draft;
 use common::listing;
+use common::news;
 use common::route;
 use common::Rig;
+use tokio::net::UdpSocket;
 
 fn fine() -> Act {
     Act::Answer(200, "fine".to_string())
@@ -53,6 +57,35 @@
     first.stop().await;
 }
 
+/// Many gateways restart while the store is away. Each waits the longer between its tries the later
+/// it stands in the order, the last ones for minutes here; a peer elsewhere has the configuration.
+#[tokio::test]
+async fn a_gateway_that_waits_to_try_the_store_again_hears_of_newer_versions() {
+    let first = Rig::start(&[fine()]).await;
+    let second = first.start_shut("gateway-2", down()).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let silent = socket.local_addr().unwrap();
+    // Let it fail and choose anew among so many that its next pause is long.
+    for seq in 1..30 {
+        for number in 0..400 {
+            second.tell(&socket, &news(&format!("a-{number:03}"), "a", silent, 0, seq)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert!(second.call("GET", "/status/1", "").await.body.unwrap().contains("starting"));
+    for seq in 1.. {
+        second.tell(&socket, &news("b-1", "b", first.settings.news, 1, seq)).await;
+        let reply = second.call("GET", "/status/1", "").await;
+        // Its own proof is missing, but the version is there.
+        if reply.body.unwrap().contains("configuration_unproved") {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    second.stop().await;
+    first.stop().await;
+}
+
 #[tokio::test]
 async fn a_key_that_was_taken_away_opens_nothing() {
     let rig = Rig::start(&[fine()]).await;
@@ -190,7 +223,7 @@
     rig.call("GET", "/unknown/1", "").await;
     let url = format!("http://{}/metrics", rig.settings.metrics.unwrap());
     let client = bw_http::Client::new();
-    let reply = client.get(&url, std::time::Duration::from_secs(5)).await.unwrap();
+    let reply = client.get(&url, Duration::from_secs(5)).await.unwrap();
     let text = String::from_utf8(reply.body.to_vec()).unwrap();
     for line in [
         "bw_gateway_requests_total{result=\"answered\",service=\"tools\"} 1",
