Reload settings of entries and agents; read few counts while steps are short

Cause: bw-entry and bw-agent did not read their settings again, and a SIGHUP while services were still being started ended any of the programs.

Change: one follower of settings files, in bw-kernel, for all three programs; signals are obeyed from the first line of a process on.

--- a/crates/bw-agent/src/beat.rs
+++ b/crates/bw-agent/src/beat.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_kernel::live::Live;
 use bw_kernel::Stop;
 use bw_link::Pool;
 use bw_member::Beat;
@@ -26,6 +27,7 @@
 
 use crate::attempts::Attempts;
 use crate::runner::ServiceTime;
+use crate::settings::Settings;
 use crate::view::Viewer;
 
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
@@ -41,10 +43,8 @@
 pub struct Beater {
     /// Instance of the agent.
     pub instance: String,
-    /// Links of entries to use before a view is known.
-    pub seeds: Vec<SocketAddr>,
-    /// Time between two heartbeats.
-    pub interval: Duration,
+    /// The settings: entries to ask before a view is known, time between two heartbeats.
+    pub settings: Live<Settings>,
     /// Links.
     pub pool: Pool,
     /// Attempts, for the load.
@@ -155,7 +155,7 @@
 
     /// Time between two heartbeats of this rank.
     fn own_interval(&self) -> Duration {
-        self.interval * if self.is_follower() { FOLLOWER_BEATS } else { 1 }
+        self.settings.get().beat * if self.is_follower() { FOLLOWER_BEATS } else { 1 }
     }
 
     fn wait(&self) -> Duration {
@@ -214,7 +214,7 @@
     fn targets(&self) -> Vec<SocketAddr> {
         let mut targets = match self.viewer.current() {
             Some(view) => view.entries.clone(),
-            None => self.seeds.clone(),
+            None => self.settings.get().entries.clone(),
         };
         targets.sort_by_key(|entry| self.silent.contains(entry));
         targets
--- a/crates/bw-agent/src/main.rs
+++ b/crates/bw-agent/src/main.rs
@@ -1,5 +1,6 @@
 //! `bw-agent`: the process in the slot of each endpoint instance.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -12,10 +13,13 @@
 use bw_agent::link::AgentHandler;
 use bw_agent::runner::Runner;
 use bw_agent::runner::ServiceTime;
+use bw_agent::settings::reload;
 use bw_agent::view::Viewer;
 use bw_agent::AgentError;
 use bw_agent::Settings;
 use bw_conf::IniFile;
+use bw_kernel::live;
+use bw_kernel::live::Live;
 use bw_kernel::unix_millis;
 use bw_kernel::Kernel;
 use bw_kernel::Metrics;
@@ -64,20 +68,22 @@
         let error = std::io::Error::other("a settings file is needed; see --help");
         return Err(AgentError::Io(error));
     };
-    let file = path.display().to_string();
-    let bytes = std::fs::read(path)
-        .map_err(|error| std::io::Error::new(error.kind(), format!("{file}: {error}")))?;
-    let ini = IniFile::parse_bytes(&file, &bytes)?;
-    let settings = Settings::try_from((file.as_str(), &ini))?;
+    let settings = parse_settings(path, &live::read_file(path)?)?;
     if arguments.check {
-        println!("{file}: ok");
+        println!("{}: ok", path.display());
         return Ok(());
     }
     let _log = bw_kernel::logging::start_logger(settings.instance.as_str(), &settings.log);
-    serve(settings).await
+    serve(settings, path).await
+}
+
+fn parse_settings(path: &Path, bytes: &[u8]) -> Result<Settings, AgentError> {
+    let file = path.display().to_string();
+    let ini = IniFile::parse_bytes(&file, bytes)?;
+    Ok(Settings::try_from((file.as_str(), &ini))?)
 }
 
-async fn serve(settings: Settings) -> Result<(), AgentError> {
+async fn serve(settings: Settings, path: &Path) -> Result<(), AgentError> {
     let metrics = Metrics::default();
     let instance = settings.instance.to_string();
     let incarnation = new_incarnation();
@@ -94,7 +100,13 @@
     let margin = settings.margin;
     let experts = Experts::new(incarnation, pool.clone(), store, margin, viewer.subscribe());
 
-    let mut kernel = Kernel::new();
+    let mut kernel = Kernel::listening()?;
+    let live = Live::new(settings.clone());
+    let (followed, file, signals) = (live.clone(), path.to_path_buf(), kernel.reloads());
+    let named = file.clone();
+    let apply =
+        move |bytes: &[u8]| parse_settings(&named, bytes).map(|next| reload(&followed, &next));
+    kernel.start("settings", |stop| live::follow_file(file, apply, signals, stop));
     let listener = bw_http::bind(settings.http).await?;
     let routes = bw_agent::web::routes(&metrics, &attempts, &viewer)?;
     kernel.start("web", |stop| bw_http::serve(listener, routes, stop));
@@ -114,8 +126,7 @@
     kernel.start("experts", |stop| experts.run(stop));
     let beater = Beater {
         instance,
-        seeds: settings.entries.clone(),
-        interval: settings.beat,
+        settings: live.clone(),
         pool,
         attempts: attempts.clone(),
         viewer,
--- a/crates/bw-entry/src/main.rs
+++ b/crates/bw-entry/src/main.rs
@@ -1,8 +1,8 @@
 //! `bw-entry`: the process on each entry instance.
 
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::sync::Arc;
 
 use argh::FromArgs;
 use bw_conf::IniFile;
@@ -18,8 +18,11 @@
 use bw_entry::requests::context::RequestMetrics;
 use bw_entry::requests::Services;
 use bw_entry::routing::Routing;
+use bw_entry::settings::reload;
 use bw_entry::EntryError;
 use bw_entry::Settings;
+use bw_kernel::live;
+use bw_kernel::live::Live;
 use bw_kernel::unix_millis;
 use bw_kernel::Kernel;
 use bw_kernel::Metrics;
@@ -71,22 +74,24 @@
         let error = std::io::Error::other("a settings file is needed; see --help");
         return Err(EntryError::Io(error));
     };
-    let file = path.display().to_string();
-    let bytes = std::fs::read(path)
-        .map_err(|error| std::io::Error::new(error.kind(), format!("{file}: {error}")))?;
-    let ini = IniFile::parse_bytes(&file, &bytes)?;
-    let settings = Settings::try_from((file.as_str(), &ini))?;
+    let settings = parse_settings(path, &live::read_file(path)?)?;
     if arguments.check {
-        println!("{file}: ok");
+        println!("{}: ok", path.display());
         return Ok(());
     }
     let _log = bw_kernel::logging::start_logger(settings.instance.as_str(), &settings.log);
-    serve(settings).await
+    serve(settings, path).await
+}
+
+fn parse_settings(path: &Path, bytes: &[u8]) -> Result<Settings, EntryError> {
+    let file = path.display().to_string();
+    let ini = IniFile::parse_bytes(&file, bytes)?;
+    Ok(Settings::try_from((file.as_str(), &ini))?)
 }
 
-async fn serve(settings: Settings) -> Result<(), EntryError> {
+async fn serve(settings: Settings, path: &Path) -> Result<(), EntryError> {
     let metrics = Metrics::default();
-    let mut kernel = Kernel::new();
+    let mut kernel = Kernel::listening()?;
     let services = build_services(&settings, &metrics, &mut kernel)?;
     let (http, grace) = (settings.http, settings.grace);
     let (interval, seeds) = (settings.digest, settings.peers.clone());
@@ -123,6 +128,10 @@
         decisions: services.decisions.clone(),
     };
     kernel.start("planner", |stop| planner.run(stop));
+    let (live, file, signals) = (services.settings.clone(), path.to_path_buf(), kernel.reloads());
+    let named = file.clone();
+    let apply = move |bytes: &[u8]| parse_settings(&named, bytes).map(|next| reload(&live, &next));
+    kernel.start("settings", |stop| live::follow_file(file, apply, signals, stop));
     let listener = bw_http::bind(http).await?;
     let routes = bw_entry::web::routes(&services, &metrics)?;
     kernel.start("web", |stop| bw_http::serve(listener, routes, stop));
@@ -169,7 +178,7 @@
     kernel.registry.publish("members", members.clone())?;
     kernel.registry.publish("routing", routing.clone())?;
     Ok(Services {
-        settings: Arc::new(settings.clone()),
+        settings: Live::new(settings.clone()),
         config,
         members,
         routing,
--- a/crates/bw-entry/src/requests/attempt.rs
+++ b/crates/bw-entry/src/requests/attempt.rs
@@ -86,7 +86,7 @@
             if now >= job.deadline {
                 return ReadEnd::Late;
             }
-            if now.saturating_sub(progress) >= self.settings.progress {
+            if now.saturating_sub(progress) >= self.settings.get().progress {
                 return ReadEnd::Silent;
             }
             let id = (place.attempt, place.incarnation);
--- a/crates/bw-entry/src/requests/chat.rs
+++ b/crates/bw-entry/src/requests/chat.rs
@@ -72,7 +72,7 @@
         if fields.stream {
             return Ok(self.stream_chat(job, value).await);
         }
-        let mut buffer = Buffer::new(self.settings.answer);
+        let mut buffer = Buffer::new(self.settings.get().answer);
         match self.run_repeatable(job, &mut buffer).await? {
             Answered::Whole => Ok(whole_response(id, buffer)),
             Answered::CallerGone if buffer.overrun => Err(Fault::Failed("answer_too_large")),
--- a/crates/bw-entry/src/requests/context.rs
+++ b/crates/bw-entry/src/requests/context.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bw_kernel::live::Live;
 use bw_kernel::KernelError;
 use bw_kernel::Metrics;
 use bw_model::fleet::PoolKey;
@@ -75,7 +76,7 @@
 #[derive(Clone)]
 pub struct Services {
     /// Settings.
-    pub settings: Arc<Settings>,
+    pub settings: Live<Settings>,
     /// Configuration.
     pub config: Config,
     /// Membership.
@@ -204,7 +205,7 @@
         Dispatch {
             attempt: new_attempt(),
             incarnation: choice.incarnation,
-            entry: self.settings.instance.to_string(),
+            entry: self.settings.get().instance.to_string(),
             request: job.id.clone(),
             workspace: job.workspace_name().to_string(),
             order: job.current.fleet.workspaces[job.workspace].order,
--- a/crates/bw-entry/src/requests/once.rs
+++ b/crates/bw-entry/src/requests/once.rs
@@ -108,7 +108,7 @@
             exclude: Vec::new(),
             choice: None,
             admitted: None,
-            answer: Buffer::new(self.settings.answer),
+            answer: Buffer::new(self.settings.get().answer),
             pause: PAUSE_FIRST,
         };
         let (mut flow, mut step) = Flow::start();
@@ -209,7 +209,7 @@
         let Some(place) = self.place(&claim) else {
             return Event::Silent;
         };
-        self.answer = Buffer::new(self.services.settings.answer);
+        self.answer = Buffer::new(self.services.settings.get().answer);
         let end = self.services.read_answer(self.job, place, &mut self.answer).await;
         info!("event=once_read request={} attempt={} end={end:?}", self.job.id, claim.attempt);
         match end {
--- a/crates/bw-entry/src/requests/service.rs
+++ b/crates/bw-entry/src/requests/service.rs
@@ -101,7 +101,7 @@
     }
 
     async fn run_service(&self, job: Job) -> Result<Buffer, Fault> {
-        let mut buffer = Buffer::new(self.settings.answer);
+        let mut buffer = Buffer::new(self.settings.get().answer);
         match self.run_repeatable(job, &mut buffer).await? {
             Answered::Whole => Ok(buffer),
             Answered::CallerGone => Err(Fault::Failed("answer_too_large")),
@@ -121,7 +121,7 @@
     /// Reads the body of a request within the limits of the settings.
     pub async fn read_request(&self, request: &mut Request) -> Result<Bytes, Fault> {
         let body = request.incoming().map_err(|error| Fault::Body(error.to_string()))?;
-        read_body(body, self.settings.body, BODY_LIMIT).await.map_err(|error| match error {
+        read_body(body, self.settings.get().body, BODY_LIMIT).await.map_err(|error| match error {
             BodyError::Large(_) => Fault::Large(error.to_string()),
             BodyError::Slow(_) => Fault::Slow(error.to_string()),
             BodyError::Short(_) => Fault::Body(error.to_string()),
@@ -131,7 +131,7 @@
     /// The time for a request: the settings', or less if the caller says so.
     pub fn timeout_of(&self, request: &Request) -> Duration {
         let given: Option<u64> = request.header(TIMEOUT_HEADER);
-        let limit = self.settings.timeout;
+        let limit = self.settings.get().timeout;
         given.map_or(limit, |millis| Duration::from_millis(millis).min(limit))
     }
 
--- a/crates/bw-entry/src/settings.rs
+++ b/crates/bw-entry/src/settings.rs
@@ -8,10 +8,11 @@
 use bw_conf::settings::settings_section;
 use bw_conf::IniFile;
 use bw_conf::Section;
+use bw_kernel::live::Live;
 use bw_model::Name;
 
 /// Checked settings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Instance that the entry stands on.
     pub instance: Name,
@@ -47,6 +48,25 @@
     pub log: String,
 }
 
+/// Puts settings into force; what belongs to open sockets and running services stays as it was.
+///
+/// Returns whether anything asks for a restart.
+pub fn reload(live: &Live<Settings>, next: &Settings) -> bool {
+    let mut restart = false;
+    live.update(|current| {
+        let merged = Settings {
+            body: next.body,
+            answer: next.answer,
+            timeout: next.timeout,
+            progress: next.progress,
+            ..current.clone()
+        };
+        restart = merged != *next;
+        merged
+    });
+    restart
+}
+
 impl TryFrom<(&str, &IniFile)> for Settings {
     type Error = Faults;
 
--- a/crates/bw-entry/src/web.rs
+++ b/crates/bw-entry/src/web.rs
@@ -142,7 +142,7 @@
         .collect();
     let body = json!({
         "version": current.version(),
-        "entry": services.settings.instance,
+        "entry": services.settings.get().instance,
         "waiting": services.queue.len(),
         "processes": processes,
         "endpoints": endpoints,
--- a/crates/bw-expert/tests/urgency.rs
+++ b/crates/bw-expert/tests/urgency.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bw_expert::policy::urgency::gain_needed;
+use bw_expert::policy::urgency::is_calm;
 
 const PAUSE: Duration = Duration::from_millis(120);
 
@@ -30,3 +31,10 @@
 fn streams_without_a_timely_pause_count_as_calm() {
     assert_eq!(gain_needed(Some(Duration::from_secs(1)), Duration::ZERO), needed(0));
 }
+
+#[test]
+fn counts_are_of_use_once_steps_take_half_of_the_timely_pause() {
+    assert!(is_calm(Some(Duration::from_millis(50)), PAUSE));
+    assert!(is_calm(None, PAUSE), "an idle group");
+    assert!(!is_calm(Some(Duration::from_millis(60)), PAUSE));
+}
--- a/crates/bw-gateway/src/main.rs
+++ b/crates/bw-gateway/src/main.rs
@@ -63,7 +63,7 @@
         settings.platform
     );
     let grace = settings.grace.saturating_sub(GRACE_MARGIN);
-    let mut kernel = Kernel::new();
+    let mut kernel = Kernel::listening()?;
     let sockets = app::Sockets::bind(&mut settings).await?;
     app::start(&mut kernel, settings, sockets, Some(path.clone()))?;
     kernel.run(grace).await?;
--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -7,6 +7,7 @@
 use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::Room;
 use bw_expert::policy::urgency::gain_needed;
+use bw_expert::policy::urgency::is_calm;
 use bw_http::Client;
 use bw_model::MapVersion;
 use log::info;
@@ -21,6 +22,8 @@
 
 /// Time between two readings of counts.
 const SAMPLE_EVERY: Duration = Duration::from_millis(1_000);
+/// The same while steps are so short that no map would follow.
+const SAMPLE_CALM: Duration = Duration::from_millis(4_000);
 /// Time between the two readings that show the new demand after steps have become longer.
 const SAMPLE_SHIFT: Duration = Duration::from_millis(150);
 /// Time after those to the one that shows it better.
@@ -81,6 +84,8 @@
         let jumped = calm && steps.has_jumped(now);
         let due = match group.sampling {
             _ if group.counting > 0 => false,
+            // Counts are asked for when a map may follow, and now and then to know demand.
+            Sampling::Steady if is_calm(steps.present(now), group.pause) => since >= SAMPLE_CALM,
             Sampling::Steady if jumped => {
                 group.sampling = Sampling::Rebase;
                 true
--- a/crates/bw-kernel/src/kernel.rs
+++ b/crates/bw-kernel/src/kernel.rs
@@ -5,6 +5,9 @@
 
 use log::info;
 use log::warn;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
@@ -51,6 +54,7 @@
     /// Handles by service name.
     pub registry: Registry,
     running: Vec<Running>,
+    signals: Option<Signals>,
     /// Number of requests to read the settings again.
     reload: watch::Sender<u64>,
     /// Names of services that have ended.
@@ -62,7 +66,32 @@
     fn default() -> Self {
         let (ended, ends) = mpsc::unbounded_channel();
         let reload = watch::Sender::new(0);
-        Self { registry: Registry::default(), running: Vec::new(), reload, ends, ended }
+        Self {
+            registry: Registry::default(),
+            running: Vec::new(),
+            signals: None,
+            reload,
+            ends,
+            ended,
+        }
+    }
+}
+
+/// The signals that a process obeys.
+struct Signals {
+    term: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self, KernelError> {
+        let listen = |kind| signal(kind).map_err(KernelError::Signal);
+        Ok(Self {
+            term: listen(SignalKind::terminate())?,
+            interrupt: listen(SignalKind::interrupt())?,
+            hangup: listen(SignalKind::hangup())?,
+        })
     }
 }
 
@@ -85,6 +114,14 @@
         Self::default()
     }
 
+    /// A kernel that obeys signals from now on, also while its services are still being started.
+    ///
+    /// # Errors
+    /// [`KernelError::Signal`].
+    pub fn listening() -> Result<Self, KernelError> {
+        Ok(Self { signals: Some(Signals::listen()?), ..Self::default() })
+    }
+
     /// Starts a service; services that start later stop earlier.
     pub fn start<S, F, E>(&mut self, name: &str, service: S)
     where
@@ -135,17 +172,15 @@
     }
 
     async fn wait_end(&mut self) -> Result<Option<KernelError>, KernelError> {
-        use tokio::signal::unix::signal;
-        use tokio::signal::unix::SignalKind;
-
-        let mut term = signal(SignalKind::terminate()).map_err(KernelError::Signal)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(KernelError::Signal)?;
-        let mut hangup = signal(SignalKind::hangup()).map_err(KernelError::Signal)?;
+        let mut signals = match self.signals.take() {
+            Some(signals) => signals,
+            None => Signals::listen()?,
+        };
         loop {
             tokio::select! {
-                _ = term.recv() => break,
-                _ = interrupt.recv() => break,
-                _ = hangup.recv() => {
+                _ = signals.term.recv() => break,
+                _ = signals.interrupt.recv() => break,
+                _ = signals.hangup.recv() => {
                     info!("event=reload reason=signal");
                     self.reload.send_modify(|count| *count += 1);
                 }
--- a/crates/bw-kernel/src/lib.rs
+++ b/crates/bw-kernel/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod error;
 pub mod kernel;
+pub mod live;
 pub mod logging;
 pub mod metrics;
 pub mod registry;
