--- a/crates/bw-agent/tests/signals.rs
+++ b/crates/bw-agent/tests/signals.rs
@@ -1,42 +1,10 @@
-//! Signals and a settings file that changes: bw-agent goes on, and says what it did.
+//! Signals and a settings file that changes: the process goes on, and says what it did.
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
-use std::io::BufRead;
-use std::io::BufReader;
-use std::process::Child;
-use std::process::ChildStdout;
-use std::process::Command;
-use std::process::Stdio;
+use std::path::Path;
 
-/// A running process, killed when the test is over.
-struct Process(Child);
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have ended, which is what most tests wait for.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-impl Process {
-    fn signal(&self, name: &str) {
-        let id = self.0.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
-    }
-}
-
-/// Reads lines until one has `text`.
-fn wait_line(output: &mut BufReader<ChildStdout>, text: &str) -> String {
-    loop {
-        let mut line = String::new();
-        assert!(output.read_line(&mut line).unwrap() > 0, "it ended without {text}");
-        if line.contains(text) {
-            return line;
-        }
-    }
-}
+use bw_fake::process::Process;
 
 fn settings(beat: u32) -> String {
     format!(
@@ -46,34 +14,27 @@
 
 #[test]
 fn a_hangup_reloads_what_can_be_reloaded() {
-    let folder = std::env::temp_dir().join(format!("bw-agent-signals-{}", std::process::id()));
-    std::fs::create_dir_all(&folder).unwrap();
-    let file = folder.join("settings.ini");
-    std::fs::write(&file, settings(1_000)).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_bw-agent"));
-    let child = command.arg(&file).stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap();
-    let mut process = Process(child);
-    let mut output = BufReader::new(process.0.stdout.take().unwrap());
-    wait_line(&mut output, "event=service_started service=settings");
+    let program = Path::new(env!("CARGO_BIN_EXE_bw-agent"));
+    let mut process = Process::start(program, &settings(1_000)).unwrap();
+    process.wait_line("event=service_started service=settings").unwrap();
 
-    process.signal("-HUP");
-    wait_line(&mut output, "event=settings_reloaded changed=false");
+    process.signal("-HUP").unwrap();
+    process.wait_line("event=settings_reloaded changed=false").unwrap();
 
     // Without a signal, by its content alone.
-    std::fs::write(&file, settings(2_000)).unwrap();
-    wait_line(&mut output, "event=settings_reloaded changed=true needs_restart=false");
+    process.set(&settings(2_000)).unwrap();
+    process.wait_line("event=settings_reloaded changed=true needs_restart=false").unwrap();
 
-    std::fs::write(&file, settings(2_000).replace("127.0.0.1:0", "127.0.0.2:0")).unwrap();
-    process.signal("-HUP");
-    wait_line(&mut output, "event=settings_reloaded changed=true needs_restart=true");
+    process.set(&settings(2_000).replace("127.0.0.1:0", "127.0.0.2:0")).unwrap();
+    process.signal("-HUP").unwrap();
+    process.wait_line("event=settings_reloaded changed=true needs_restart=true").unwrap();
 
-    std::fs::write(&file, settings(0).replace("beat-ms", "unknown")).unwrap();
-    process.signal("-HUP");
-    let line = wait_line(&mut output, "event=settings_refused");
+    process.set(&settings(0).replace("beat-ms", "unknown")).unwrap();
+    process.signal("-HUP").unwrap();
+    let line = process.wait_line("event=settings_refused").unwrap();
     assert!(line.contains("unknown"), "{line}");
 
-    process.signal("-TERM");
-    wait_line(&mut output, "event=stopped failed=false");
-    assert!(process.0.wait().unwrap().success());
-    std::fs::remove_dir_all(&folder).unwrap();
+    process.signal("-TERM").unwrap();
+    process.wait_line("event=stopped failed=false").unwrap();
+    assert!(process.wait_end().unwrap());
 }
--- a/crates/bw-fake/src/lib.rs
+++ b/crates/bw-fake/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod engine;
 pub mod objects;
 pub mod platform;
+pub mod process;
 pub mod service;
 pub mod settings;
 pub mod weights;
