--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -51,15 +51,7 @@
         calls: &mut Vec<Call>,
     ) {
         if group.map.is_none() {
-            if group.pending > 0 {
-                return;
-            }
-            group.reading.clear();
-            for (rank, address) in group.view.addresses() {
-                group.pending += 1;
-                let name = group.view.name.clone();
-                calls.push(Box::pin(read_held(client.clone(), name, rank, address)));
-            }
+            ask_held(group, client, calls);
             return;
         }
         if group.counting == 0 && group.driver.phase() == Phase::Idle {
@@ -77,16 +69,22 @@
             group.looked = now;
             group.push_reports(client, calls);
         }
+        if group.counting == 0 && self.is_sample_due(group, now) {
+            group.sampled = now;
+            ask_counts(group, client, calls);
+        }
+    }
+
+    /// Whether counts should be read now; begins anew where demand has shifted.
+    fn is_sample_due(&self, group: &mut Group, now: Duration) -> bool {
         let steps = self.endpoints.steps(&group.view.name);
         let since = now.saturating_sub(group.sampled);
         // Reading counts and copying experts make steps longer, too.
-        let calm = since >= JUMP_CALM && now.saturating_sub(group.switched) >= JUMP_CALM;
-        let jumped = calm && steps.has_jumped(now);
-        let due = match group.sampling {
-            _ if group.counting > 0 => false,
+        let undisturbed = since >= JUMP_CALM && now.saturating_sub(group.switched) >= JUMP_CALM;
+        match group.sampling {
             // Counts are asked for when a map may follow, and now and then to know demand.
             Sampling::Steady if is_calm(steps.present(now), group.pause) => since >= SAMPLE_CALM,
-            Sampling::Steady if jumped => {
+            Sampling::Steady if undisturbed && steps.has_jumped(now) => {
                 group.sampling = Sampling::Rebase;
                 true
             }
@@ -95,18 +93,6 @@
             _ if steps.present(now).is_none() => since >= SAMPLE_EVERY,
             Sampling::Rebase | Sampling::Shifted => since >= SAMPLE_SHIFT,
             Sampling::Refining => since >= SAMPLE_REFINE,
-        };
-        if due {
-            group.sampled = now;
-            let ranks = match group.sampling {
-                Sampling::Steady => 1,
-                _ => (group.view.ranks.len() / SHIFT_RANKS_PART).clamp(1, SHIFT_RANKS_MAX),
-            };
-            for (rank, address) in group.view.addresses().into_iter().take(ranks) {
-                group.counting += 1;
-                let name = group.view.name.clone();
-                calls.push(Box::pin(read_counts(client.clone(), name, rank, address)));
-            }
         }
     }
 
@@ -159,6 +145,32 @@
     }
 }
 
+/// Asks all ranks which experts they hold, unless they are being asked.
+fn ask_held(group: &mut Group, client: &Client, calls: &mut Vec<Call>) {
+    if group.pending > 0 {
+        return;
+    }
+    group.reading.clear();
+    for (rank, address) in group.view.addresses() {
+        group.pending += 1;
+        let name = group.view.name.clone();
+        calls.push(Box::pin(read_held(client.clone(), name, rank, address)));
+    }
+}
+
+/// Asks one rank for its counts, or some more after a shift.
+fn ask_counts(group: &mut Group, client: &Client, calls: &mut Vec<Call>) {
+    let ranks = match group.sampling {
+        Sampling::Steady => 1,
+        _ => (group.view.ranks.len() / SHIFT_RANKS_PART).clamp(1, SHIFT_RANKS_MAX),
+    };
+    for (rank, address) in group.view.addresses().into_iter().take(ranks) {
+        group.counting += 1;
+        let name = group.view.name.clone();
+        calls.push(Box::pin(read_counts(client.clone(), name, rank, address)));
+    }
+}
+
 /// A map that was planned, and what it was planned from.
 pub struct MapPlan {
     pub before: Vec<Placement>,
