Say once what was said twice: reading settings, following a phase, the reload test

Cause: read once more, the change had three copies of the reading and checking of a settings file and of the closure that puts it into force, two copies of the same reload test, and the same four lines twice in the planner. The planner also copied all remembered pauses of a group each time it asked how long steps are, at every tick and after every call. One argument was always zero, and one method of the driver had no caller.

Change: bw_conf::settings::parse_settings serves all three programs, live::follow_file takes it and what puts the result into force apart; bw_fake::process::check_reload holds the scenario with all of its checks; Endpoints::step and has_step_jumped answer without a copy. Waiting::try_place and Driver lose what was unused.

Ruled out: one main for the three programs (their settings, errors and runtimes differ, the rest is what argh needs of each).

--- a/crates/bw-agent/src/main.rs
+++ b/crates/bw-agent/src/main.rs
@@ -17,7 +17,7 @@
 use bw_agent::view::Viewer;
 use bw_agent::AgentError;
 use bw_agent::Settings;
-use bw_conf::IniFile;
+use bw_conf::settings::parse_settings;
 use bw_kernel::live;
 use bw_kernel::live::Live;
 use bw_kernel::unix_millis;
@@ -68,7 +68,7 @@
         let error = std::io::Error::other("a settings file is needed; see --help");
         return Err(AgentError::Io(error));
     };
-    let settings = parse_settings(path, &live::read_file(path)?)?;
+    let settings: Settings = parse_settings(path, &live::read_file(path)?)?;
     if arguments.check {
         println!("{}: ok", path.display());
         return Ok(());
@@ -77,12 +77,6 @@
     serve(settings, path).await
 }
 
-fn parse_settings(path: &Path, bytes: &[u8]) -> Result<Settings, AgentError> {
-    let file = path.display().to_string();
-    let ini = IniFile::parse_bytes(&file, bytes)?;
-    Ok(Settings::try_from((file.as_str(), &ini))?)
-}
-
 async fn serve(settings: Settings, path: &Path) -> Result<(), AgentError> {
     let metrics = Metrics::default();
     let instance = settings.instance.to_string();
@@ -103,10 +97,8 @@
     let mut kernel = Kernel::listening()?;
     let live = Live::new(settings.clone());
     let (followed, file, signals) = (live.clone(), path.to_path_buf(), kernel.reloads());
-    let named = file.clone();
-    let apply =
-        move |bytes: &[u8]| parse_settings(&named, bytes).map(|next| reload(&followed, &next));
-    kernel.start("settings", |stop| live::follow_file(file, apply, signals, stop));
+    let apply = move |next: &Settings| reload(&followed, next);
+    kernel.start("settings", |stop| live::follow_file(file, parse_settings, apply, signals, stop));
     let listener = bw_http::bind(settings.http).await?;
     let routes = bw_agent::web::routes(&metrics, &attempts, &viewer)?;
     kernel.start("web", |stop| bw_http::serve(listener, routes, stop));
--- a/crates/bw-conf/src/settings.rs
+++ b/crates/bw-conf/src/settings.rs
@@ -1,6 +1,7 @@
 //! Typed access to one section that collects every fault instead of stopping at the first.
 
 use std::fmt::Display;
+use std::path::Path;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -10,6 +11,19 @@
 use crate::reader::IniFile;
 use crate::reader::RawSection;
 
+/// Reads and checks the content of a settings file.
+///
+/// # Errors
+/// All faults with their places.
+pub fn parse_settings<T>(path: &Path, bytes: &[u8]) -> Result<T, Faults>
+where
+    T: for<'a> TryFrom<(&'a str, &'a IniFile), Error = Faults>,
+{
+    let file = path.display().to_string();
+    let ini = IniFile::parse_bytes(&file, bytes)?;
+    T::try_from((file.as_str(), &ini))
+}
+
 /// Reads the keys of one section and remembers which ones it was asked for.
 #[derive(Debug)]
 pub struct Section<'a> {
--- a/crates/bw-entry/src/main.rs
+++ b/crates/bw-entry/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use bw_conf::IniFile;
+use bw_conf::settings::parse_settings;
 use bw_entry::agents::Agents;
 use bw_entry::claims::Claims;
 use bw_entry::config::Config;
@@ -74,7 +74,7 @@
         let error = std::io::Error::other("a settings file is needed; see --help");
         return Err(EntryError::Io(error));
     };
-    let settings = parse_settings(path, &live::read_file(path)?)?;
+    let settings: Settings = parse_settings(path, &live::read_file(path)?)?;
     if arguments.check {
         println!("{}: ok", path.display());
         return Ok(());
@@ -83,12 +83,6 @@
     serve(settings, path).await
 }
 
-fn parse_settings(path: &Path, bytes: &[u8]) -> Result<Settings, EntryError> {
-    let file = path.display().to_string();
-    let ini = IniFile::parse_bytes(&file, bytes)?;
-    Ok(Settings::try_from((file.as_str(), &ini))?)
-}
-
 async fn serve(settings: Settings, path: &Path) -> Result<(), EntryError> {
     let metrics = Metrics::default();
     let mut kernel = Kernel::listening()?;
@@ -129,9 +123,8 @@
     };
     kernel.start("planner", |stop| planner.run(stop));
     let (live, file, signals) = (services.settings.clone(), path.to_path_buf(), kernel.reloads());
-    let named = file.clone();
-    let apply = move |bytes: &[u8]| parse_settings(&named, bytes).map(|next| reload(&live, &next));
-    kernel.start("settings", |stop| live::follow_file(file, apply, signals, stop));
+    let apply = move |next: &Settings| reload(&live, next);
+    kernel.start("settings", |stop| live::follow_file(file, parse_settings, apply, signals, stop));
     let listener = bw_http::bind(http).await?;
     let routes = bw_entry::web::routes(&services, &metrics)?;
     kernel.start("web", |stop| bw_http::serve(listener, routes, stop));
--- a/crates/bw-entry/tests/signals.rs
+++ b/crates/bw-entry/tests/signals.rs
@@ -4,7 +4,7 @@
 
 use std::path::Path;
 
-use bw_fake::process::Process;
+use bw_fake::process::check_reload;
 
 fn settings(progress: u32) -> String {
     format!(
@@ -16,26 +16,5 @@
 #[test]
 fn a_hangup_reloads_what_can_be_reloaded() {
     let program = Path::new(env!("CARGO_BIN_EXE_bw-entry"));
-    let mut process = Process::start(program, &settings(1_000)).unwrap();
-    process.wait_line("event=service_started service=settings").unwrap();
-
-    process.signal("-HUP").unwrap();
-    process.wait_line("event=settings_reloaded changed=false").unwrap();
-
-    // Without a signal, by its content alone.
-    process.set(&settings(2_000)).unwrap();
-    process.wait_line("event=settings_reloaded changed=true needs_restart=false").unwrap();
-
-    process.set(&settings(2_000).replace("127.0.0.1:0", "127.0.0.2:0")).unwrap();
-    process.signal("-HUP").unwrap();
-    process.wait_line("event=settings_reloaded changed=true needs_restart=true").unwrap();
-
-    process.set(&settings(0).replace("progress-ms", "unknown")).unwrap();
-    process.signal("-HUP").unwrap();
-    let line = process.wait_line("event=settings_refused").unwrap();
-    assert!(line.contains("unknown"), "{line}");
-
-    process.signal("-TERM").unwrap();
-    process.wait_line("event=stopped failed=false").unwrap();
-    assert!(process.wait_end().unwrap());
+    check_reload(program, "progress-ms", settings).unwrap();
 }
--- a/crates/bw-expert/src/drive/driver.rs
+++ b/crates/bw-expert/src/drive/driver.rs
@@ -137,13 +137,6 @@
         self.phase == Phase::Preparing && self.all_done()
     }
 
-    /// Gives a switch up before it holds anything.
-    pub fn abandon(&mut self) {
-        if self.phase == Phase::Preparing {
-            self.enter(Phase::Reading);
-        }
-    }
-
     /// Starts over with the group as its ranks report it, as after a change of its life.
     ///
     /// Without effect while a step may be held in the present life.
--- a/crates/bw-fake/src/process.rs
+++ b/crates/bw-fake/src/process.rs
@@ -11,7 +11,7 @@
 use std::process::Stdio;
 
 /// A running process with its settings file; killed when it is dropped.
-pub struct Process {
+struct Process {
     child: Child,
     output: BufReader<ChildStdout>,
     folder: PathBuf,
@@ -22,7 +22,7 @@
     ///
     /// # Errors
     /// What the system says.
-    pub fn start(program: &Path, settings: &str) -> io::Result<Self> {
+    fn start(program: &Path, settings: &str) -> io::Result<Self> {
         let name = program.file_name().unwrap_or_default().to_string_lossy().into_owned();
         let folder = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
@@ -38,7 +38,7 @@
     ///
     /// # Errors
     /// What the system says.
-    pub fn set(&self, settings: &str) -> io::Result<()> {
+    fn set(&self, settings: &str) -> io::Result<()> {
         let next = self.folder.join("next.ini");
         std::fs::write(&next, settings)?;
         std::fs::rename(&next, settings_file(&self.folder))
@@ -48,7 +48,7 @@
     ///
     /// # Errors
     /// What the system says; also when there is no such process.
-    pub fn signal(&self, name: &str) -> io::Result<()> {
+    fn signal(&self, name: &str) -> io::Result<()> {
         let status = Command::new("kill").args([name, &self.child.id().to_string()]).status()?;
         if status.success() {
             Ok(())
@@ -61,7 +61,7 @@
     ///
     /// # Errors
     /// When the process ends without such a line.
-    pub fn wait_line(&mut self, text: &str) -> io::Result<String> {
+    fn wait_line(&mut self, text: &str) -> io::Result<String> {
         loop {
             let mut line = String::new();
             if self.output.read_line(&mut line)? == 0 {
@@ -77,11 +77,52 @@
     ///
     /// # Errors
     /// What the system says.
-    pub fn wait_end(&mut self) -> io::Result<bool> {
+    fn wait_end(&mut self) -> io::Result<bool> {
         Ok(self.child.wait()?.success())
     }
 }
 
+/// Checks that a program reloads its settings at a signal and by their content alone, refuses those
+/// with faults, and ends well.
+///
+/// `settings` gives the text for a value of `key`, which can be reloaded.
+///
+/// # Errors
+/// What the program did not do.
+pub fn check_reload<F>(program: &Path, key: &str, settings: F) -> io::Result<()>
+where
+    F: Fn(u32) -> String,
+{
+    let mut process = Process::start(program, &settings(1_000))?;
+    process.wait_line("event=service_started service=settings")?;
+
+    process.signal("-HUP")?;
+    process.wait_line("event=settings_reloaded changed=false")?;
+
+    // Without a signal, by its content alone.
+    process.set(&settings(2_000))?;
+    process.wait_line("event=settings_reloaded changed=true needs_restart=false")?;
+
+    process.set(&settings(2_000).replace("127.0.0.1:0", "127.0.0.2:0"))?;
+    process.signal("-HUP")?;
+    process.wait_line("event=settings_reloaded changed=true needs_restart=true")?;
+
+    process.set(&settings(0).replace(key, "unknown"))?;
+    process.signal("-HUP")?;
+    let line = process.wait_line("event=settings_refused")?;
+    if !line.contains("unknown") {
+        return Err(io::Error::other(format!("the fault has no place: {line}")));
+    }
+
+    process.signal("-TERM")?;
+    process.wait_line("event=stopped failed=false")?;
+    if process.wait_end()? {
+        Ok(())
+    } else {
+        Err(io::Error::other("it ended with a failure"))
+    }
+}
+
 impl Drop for Process {
     fn drop(&mut self) {
         // It may have ended, which is what most tests wait for; the folder is a temporary one.
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -216,9 +216,14 @@
         state.steps.entry(group).or_default().note(pause, now);
     }
 
-    /// Pauses of a group's streams.
-    pub fn steps(&self, group: &str) -> StepTrack {
-        self.lock().steps.get(group).cloned().unwrap_or_default()
+    /// Present length of a group's steps; `None` when too few streams show it.
+    pub fn step(&self, group: &str, now: Duration) -> Option<Duration> {
+        self.lock().steps.get(group)?.present(now)
+    }
+
+    /// Whether a group's steps have become longer than load explains.
+    pub fn has_step_jumped(&self, group: &str, now: Duration) -> bool {
+        self.lock().steps.get(group).is_some_and(|steps| steps.has_jumped(now))
     }
 
     /// Sets the slow endpoints as this gateway's planner sees them.
--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -77,20 +77,22 @@
 
     /// Whether counts should be read now; begins anew where demand has shifted.
     fn is_sample_due(&self, group: &mut Group, now: Duration) -> bool {
-        let steps = self.endpoints.steps(&group.view.name);
+        let step = self.endpoints.step(&group.view.name, now);
         let since = now.saturating_sub(group.sampled);
         // Reading counts and copying experts make steps longer, too.
         let undisturbed = since >= JUMP_CALM && now.saturating_sub(group.switched) >= JUMP_CALM;
         match group.sampling {
             // Counts are asked for when a map may follow, and now and then to know demand.
-            Sampling::Steady if is_calm(steps.present(now), group.pause) => since >= SAMPLE_CALM,
-            Sampling::Steady if undisturbed && steps.has_jumped(now) => {
+            Sampling::Steady if is_calm(step, group.pause) => since >= SAMPLE_CALM,
+            Sampling::Steady
+                if undisturbed && self.endpoints.has_step_jumped(&group.view.name, now) =>
+            {
                 group.sampling = Sampling::Rebase;
                 true
             }
             Sampling::Steady => since >= SAMPLE_EVERY,
             // An idle group shows nothing, however often it is asked.
-            _ if steps.present(now).is_none() => since >= SAMPLE_EVERY,
+            _ if step.is_none() => since >= SAMPLE_EVERY,
             Sampling::Rebase | Sampling::Shifted => since >= SAMPLE_SHIFT,
             Sampling::Refining => since >= SAMPLE_REFINE,
         }
@@ -109,17 +111,11 @@
         Some(Box::pin(make_plan(name, map, demand, paces, room)))
     }
 
-    /// Present length of the group's steps in milliseconds; 0 when no stream shows it.
-    fn step_millis(&self, group: &Group, now: Duration) -> u128 {
-        let present = self.endpoints.steps(&group.view.name).present(now);
-        present.unwrap_or_default().as_millis()
-    }
-
     /// Switches to a planned map, unless it brings too little or the group has moved on.
     pub(super) fn take_plan(&self, group: &mut Group, plan: MapPlan, now: Duration) {
         group.planning = false;
-        let present = self.endpoints.steps(&group.view.name).present(now);
-        let needed = gain_needed(present, group.pause);
+        let step = self.endpoints.step(&group.view.name, now);
+        let needed = gain_needed(step, group.pause);
         let same = group.map.as_ref() == Some(&plan.before);
         if !same || group.driver.phase() != Phase::Idle || plan.gain() < needed {
             return;
@@ -137,7 +133,7 @@
             plan.skew_before,
             plan.skew_after,
             group.step.0,
-            self.step_millis(group, now)
+            step.unwrap_or_default().as_millis()
         );
         group.next = Some(plan.next);
         group.switched = now;
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -236,14 +236,19 @@
         }
     }
 
-    /// Calls that a group needs now.
-    fn advance(&self, group: &mut Group, client: &Client) -> Vec<Call> {
-        let now = self.clock.now();
-        let mut calls: Vec<Call> = Vec::new();
+    /// Counts and enters the driver's phase where it has changed.
+    fn follow_phase(&self, group: &mut Group, now: Duration) {
         if group.driver.phase() != group.phase {
             self.metrics.note_switch(phase_name(group.driver.phase()));
             group.enter(now);
         }
+    }
+
+    /// Calls that a group needs now.
+    fn advance(&self, group: &mut Group, client: &Client) -> Vec<Call> {
+        let now = self.clock.now();
+        let mut calls: Vec<Call> = Vec::new();
+        self.follow_phase(group, now);
         let stuck = matches!(group.phase, Phase::Holding | Phase::Arming | Phase::Disarming);
         if stuck && now.saturating_sub(group.since) > STUCK_MAX {
             warn!("event=switch_stuck group={} phase={:?}", group.view.name, group.phase);
@@ -268,10 +273,7 @@
             }
             _ => {}
         }
-        if group.driver.phase() != group.phase {
-            self.metrics.note_switch(phase_name(group.driver.phase()));
-            group.enter(now);
-        }
+        self.follow_phase(group, now);
         let map = group.next.as_deref().unwrap_or(&[]);
         for sending in group.driver.sendings() {
             let Some(address) = group.view.address(sending.rank) else {
--- a/crates/bw-gateway/src/reload.rs
+++ b/crates/bw-gateway/src/reload.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bw_conf::IniFile;
+use bw_conf::settings::parse_settings;
 use bw_kernel::live;
 use bw_kernel::live::Live;
 use bw_kernel::Stop;
@@ -71,13 +71,7 @@
 /// # Errors
 /// [`GatewayError::Io`] and [`GatewayError::Settings`], with the place of each fault.
 pub fn read_settings(path: &Path) -> Result<Settings, GatewayError> {
-    parse_settings(path, &live::read_file(path).map_err(GatewayError::Io)?)
-}
-
-fn parse_settings(path: &Path, bytes: &[u8]) -> Result<Settings, GatewayError> {
-    let file = path.display().to_string();
-    let ini = IniFile::parse_bytes(&file, bytes)?;
-    Ok(Settings::try_from((file.as_str(), &ini))?)
+    Ok(parse_settings(path, &live::read_file(path).map_err(GatewayError::Io)?)?)
 }
 
 /// Follows the settings file: at each signal, and when its content changes.
@@ -90,7 +84,6 @@
     signals: watch::Receiver<u64>,
     stop: Stop,
 ) -> Result<(), Infallible> {
-    let file = path.clone();
-    let apply = move |bytes: &[u8]| parse_settings(&file, bytes).map(|next| live.set(&next));
-    live::follow_file(path, apply, signals, stop).await
+    let apply = move |next: &Settings| live.set(next);
+    live::follow_file(path, parse_settings, apply, signals, stop).await
 }
--- a/crates/bw-gateway/src/waiting.rs
+++ b/crates/bw-gateway/src/waiting.rs
@@ -150,7 +150,7 @@
     pub async fn place(&self, ask: Ask) -> Result<Placed, TurnedAway> {
         let arrived = self.clock.now();
         if self.is_idle(&ask.service) {
-            if let Some(placed) = self.try_place(&ask, Duration::ZERO) {
+            if let Some(placed) = self.try_place(&ask) {
                 return Ok(placed);
             }
         }
@@ -207,7 +207,7 @@
         for lane in state.lanes.values_mut() {
             let Some(ticket) = lane.admission.peek(now) else { continue };
             let Some(waiter) = lane.waiters.get(&ticket) else { continue };
-            let Some(placed) = self.try_place(&waiter.ask, Duration::ZERO) else { continue };
+            let Some(placed) = self.try_place(&waiter.ask) else { continue };
             lane.admission.next(now);
             let waiter = lane.waiters.remove(&ticket)?;
             state.waiting -= 1;
@@ -220,12 +220,12 @@
         self.lock().lanes.get(service).is_none_or(|lane| lane.waiters.is_empty())
     }
 
-    fn try_place(&self, ask: &Ask, waited: Duration) -> Option<Placed> {
+    fn try_place(&self, ask: &Ask) -> Option<Placed> {
         let now = self.clock.now();
         let chosen = self.endpoints.place(&ask.service, &ask.exclude, ask.prompt, now)?;
         Some(Placed {
             chosen,
-            waited,
+            waited: Duration::ZERO,
             waiting: self.clone(),
             service: ask.service.clone(),
             placed: now,
--- a/crates/bw-kernel/src/live.rs
+++ b/crates/bw-kernel/src/live.rs
@@ -64,21 +64,24 @@
 
 /// Follows a settings file: at each signal, and when its content changes.
 ///
-/// `apply` checks new content and puts it into force; it tells whether anything asks for a restart,
-/// or why the content is refused. Refused content changes nothing.
+/// `parse` checks new content, and `apply` puts it into force and tells whether anything asks for a
+/// restart. Refused content changes nothing.
 ///
 /// # Errors
 /// None.
-pub async fn follow_file<F, E>(
+pub async fn follow_file<T, E, P, F>(
     path: PathBuf,
+    parse: P,
     mut apply: F,
     mut signals: watch::Receiver<u64>,
     mut stop: Stop,
 ) -> Result<(), Infallible>
 where
-    F: FnMut(&[u8]) -> Result<bool, E>,
+    P: Fn(&Path, &[u8]) -> Result<T, E>,
+    F: FnMut(&T) -> bool,
     E: Display,
 {
+    // Content that cannot be read now is taken as a change once it can be.
     let mut known = read_file(&path).unwrap_or_default();
     loop {
         let signalled = tokio::select! {
@@ -100,8 +103,9 @@
             continue;
         }
         known = bytes;
-        match apply(&known) {
-            Ok(restart) => {
+        match parse(&path, &known) {
+            Ok(next) => {
+                let restart = apply(&next);
                 info!("event=settings_reloaded changed=true needs_restart={restart}");
             }
             Err(error) => warn!("event=settings_refused reason=\"{error}\""),
