Switch maps safely at ranks that ignore fencing numbers

Cause: on deployments with fencing_enforced = false a rank carries out any order, also one of a replaced driver or one that arrives seconds late.

Waiting out late orders rests on a clock.

Change: safety rests on what ranks refuse by themselves: versions not above all that they have had, arming of anything but the last prepared version, steps that have started, another epoch. Each driver holds at its own rank and never releases a newer driver's hold; a foreign switch is claimed by an own hold, disarmed and superseded by a new version of the map in use. No order is sent at a takeover that finds nothing pending (before: one to each rank).

Tests: the model's ranks ignore fences; reports arrive rank by rank; restarts lose versions; three driver faults and four rank faults must be caught.

--- a/crates/bw-expert/src/drive/command.rs
+++ b/crates/bw-expert/src/drive/command.rs
@@ -4,7 +4,7 @@
 use bw_model::MapVersion;
 
 /// An operation that a rank carries out.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Command {
     /// Copy the experts that the map needs and the rank does not hold.
     Prepare(MapVersion),
@@ -24,13 +24,14 @@
 }
 
 /// A command with its destination and the conditions under which the rank accepts it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct RankCommand {
     /// Destination rank.
     pub rank: u16,
-    /// Incarnation of the group for which the command is valid; `None` for any.
-    pub epoch: Option<u64>,
-    /// Fencing number; a rank that has received a higher one refuses the command.
+    /// Incarnation of the group for which the command is valid.
+    pub epoch: u64,
+    /// Fencing number. Some deployments' ranks refuse a command after one with a higher number;
+    /// others ignore it, so no safety argument uses it.
     pub fence: Fence,
     /// Operation to carry out.
     pub command: Command,
--- a/crates/bw-expert/src/drive/driver.rs
+++ b/crates/bw-expert/src/drive/driver.rs
@@ -7,22 +7,29 @@
 use super::command::CommandOutcome;
 use super::command::RankCommand;
 use super::command::RankState;
+use super::tenure::Owner;
+use super::tenure::Tenure;
 
 /// Base of the postponement of a hold whose step has already started: retry `n` postpones the hold
 /// by this number of steps times 2 to the power of `n`.
 const HOLD_STRIDE: u64 = 2;
 /// Retries with a later step when the step to hold has already started.
 const HOLD_RETRIES_MAX: u32 = 4;
+/// Consecutive refusals to prepare a map after which the driver assumes that a newer one exists.
+const PREPARE_REFUSALS_MAX: u32 = 3;
 
 /// State of the driver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Phase {
-    /// Sends the fencing number to each rank, which makes the commands of earlier drivers fail.
-    Fencing,
     /// Waits for a report of each rank that was taken after the end of the previous phase.
     Reading,
-    /// Disarms a map that an earlier driver left armed at some ranks, while the step is held.
-    Clearing,
+    /// Holds the step of an older driver's switch at this driver's rank, to cancel the switch.
+    Claiming,
+    /// Disarms the ranks that an older driver armed, while the step is held.
+    Disarming,
+    /// Prepares a new version of the map in use at all ranks, which makes the prepare and arm
+    /// commands of older drivers fail.
+    Superseding,
     /// No map is armed and no step is held.
     Idle,
     /// Ranks copy experts.
@@ -31,11 +38,11 @@
     Holding,
     /// Ranks are being armed.
     Arming,
-    /// Ranks are being disarmed because one of them refused to be armed.
-    Disarming,
     /// The held steps are being released.
     Releasing,
-    /// Another driver has a higher fencing number.
+    /// Waits until a step has started for which delayed commands may still arrive.
+    Settling,
+    /// Another driver has a later lease.
     Replaced,
 }
 
@@ -55,37 +62,52 @@
 /// Carries out the map switches of one group; the caller transports commands and reports.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Driver {
-    fence: Fence,
+    tenure: Tenure,
+    /// Incarnation of the group; `None` before the first complete set of reports.
     epoch: Option<u64>,
     phase: Phase,
     progress: Vec<Progress>,
     reports: Vec<Option<RankState>>,
     version: MapVersion,
+    /// The step held last or to be held next at this driver's rank.
     step: u64,
     hold_retries: u32,
-    /// Rank at which the first step of the new map is held.
-    holder: u16,
-    /// Ranks with a held step to release.
+    prepare_refusals: u32,
+    /// Held steps to release, with their ranks.
     held: Vec<(u16, u64)>,
+    /// Ranks to disarm, with the version that an older driver armed.
+    armed: Vec<(u16, MapVersion)>,
+    /// Whether no arm command of this or of an older driver can still change what the ranks do.
+    arms_settled: bool,
+    /// Whether this driver has confirmed a hold of `step` and sent no release of it.
+    has_hold: bool,
+    /// The last step that this driver has released at its own rank; a delayed release may still
+    /// arrive, so no later hold may depend on this step or on an earlier one.
+    released: u64,
     /// Whether a hold or release of unknown outcome may still be carried out.
     may_linger: bool,
 }
 
 impl Driver {
-    /// Creates a driver; `fence` must differ from the fencing number of every other driver.
-    pub fn new(ranks: u16, fence: Fence) -> Self {
+    /// Creates a driver for a group of `ranks` ranks; `lease` is the fencing number of the lease
+    /// that permits it to drive, and no other driver of the group may use the same one.
+    pub fn new(ranks: u16, lease: Fence) -> Self {
         let count = usize::from(ranks);
         Self {
-            fence,
+            tenure: Tenure::new(lease, ranks),
             epoch: None,
-            phase: Phase::Fencing,
-            progress: vec![Progress::Due; count],
+            phase: Phase::Reading,
+            progress: vec![Progress::Done; count],
             reports: vec![None; count],
             version: MapVersion(0),
             step: 0,
             hold_retries: 0,
-            holder: 0,
+            prepare_refusals: 0,
             held: Vec::new(),
+            armed: Vec::new(),
+            arms_settled: false,
+            has_hold: false,
+            released: 0,
             may_linger: false,
         }
     }
@@ -100,37 +122,44 @@
         self.epoch
     }
 
-    /// Returns the highest fencing number in use; the driver raises it to invalidate its own
-    /// commands.
-    pub fn fence(&self) -> Fence {
-        self.fence
-    }
-
-    /// Returns the map version of the last started switch, or of the last map found armed at some
-    /// ranks only.
+    /// Returns the map version of the last started switch or cancellation.
     pub fn version(&self) -> MapVersion {
         self.version
     }
 
-    /// Starts a switch to a map; returns false unless the driver is idle.
-    pub fn start_switch(&mut self, version: MapVersion) -> bool {
+    /// Returns whether the current phase, until its end, may keep the group from advancing.
+    pub fn may_stall_group(&self) -> bool {
+        matches!(
+            self.phase,
+            Phase::Claiming
+                | Phase::Disarming
+                | Phase::Superseding
+                | Phase::Holding
+                | Phase::Arming
+                | Phase::Releasing
+        )
+    }
+
+    /// Starts a switch to a map, whose version it returns; `None` unless the driver is idle.
+    pub fn start_switch(&mut self) -> Option<MapVersion> {
         if self.phase != Phase::Idle {
-            return false;
+            return None;
         }
-        self.version = version;
+        self.version = self.tenure.issue_version();
         self.enter(Phase::Preparing);
-        true
+        Some(self.version)
     }
 
-    /// Sets the first step of the new map and the rank at which to hold it; returns false unless
-    /// all ranks are prepared. If the step has already started, later steps are tried.
-    pub fn hold(&mut self, step: u64, holder: u16) -> bool {
-        if self.phase != Phase::Preparing || !self.all_done() {
+    /// Sets the first step of the new map; returns false unless all ranks are prepared. If the step
+    /// has already started, later steps are tried.
+    pub fn hold(&mut self, step: u64) -> bool {
+        if !self.is_prepared() {
             return false;
         }
-        self.step = step;
+        self.arms_settled = true;
+        self.prepare_refusals = 0;
+        self.step = step.max(self.released + 1);
         self.hold_retries = 0;
-        self.holder = holder;
         self.enter(Phase::Holding);
         true
     }
@@ -144,7 +173,7 @@
     ///
     /// Does nothing while a step may be held in the current incarnation.
     pub fn reread(&mut self) {
-        if matches!(self.phase, Phase::Idle | Phase::Preparing) {
+        if matches!(self.phase, Phase::Idle | Phase::Preparing | Phase::Settling) {
             self.enter(Phase::Reading);
         }
     }
@@ -160,28 +189,31 @@
 
     /// Returns the commands to send now and marks them as sent.
     pub fn due_commands(&mut self) -> Vec<RankCommand> {
-        let due = (0..self.progress.len()).filter(|rank| self.progress[*rank] == Progress::Due);
-        let due: Vec<usize> = due.collect();
+        let Some(epoch) = self.epoch else { return Vec::new() };
+        let fence = self.tenure.fence();
         let mut commands = Vec::new();
-        for rank in due {
-            if let Some(command) = self.command(rank as u16) {
-                self.progress[rank] = Progress::Sent;
-                let epoch = if self.phase == Phase::Fencing { None } else { self.epoch };
-                commands.push(RankCommand { rank: rank as u16, epoch, fence: self.fence, command });
+        for rank in 0..self.progress.len() {
+            if self.progress[rank] != Progress::Due {
+                continue;
+            }
+            let rank = rank as u16;
+            if let Some(command) = self.command(rank) {
+                self.progress[usize::from(rank)] = Progress::Sent;
+                commands.push(RankCommand { rank, epoch, fence, command });
             }
         }
         commands
     }
 
     /// Applies the outcome of a command. Outcomes of commands from earlier phases are ignored,
-    /// except [`CommandOutcome::Stale`] for the current fencing number.
+    /// except [`CommandOutcome::Stale`].
     pub fn handle_outcome(&mut self, sent: &RankCommand, outcome: CommandOutcome) {
         let rank = usize::from(sent.rank);
-        if outcome == CommandOutcome::Stale && sent.fence == self.fence {
+        if outcome == CommandOutcome::Stale {
             self.phase = Phase::Replaced;
             return;
         }
-        let current = sent.fence == self.fence
+        let current = Some(sent.epoch) == self.epoch
             && self.progress.get(rank) == Some(&Progress::Sent)
             && self.command(sent.rank) == Some(sent.command);
         if !current {
@@ -189,7 +221,7 @@
         }
         match outcome {
             CommandOutcome::Unknown => {
-                self.may_linger |= matches!(self.phase, Phase::Holding | Phase::Releasing);
+                self.may_linger |= self.sends_holds();
                 self.progress[rank] = Progress::Due;
             }
             CommandOutcome::Started if self.phase == Phase::Preparing => {
@@ -204,37 +236,45 @@
         }
     }
 
-    /// Records a report of a rank and continues when every rank has reported.
+    /// Records a report of a rank, and continues when the phase has the reports that it waits for.
     ///
     /// The report must have been requested after the current phase started by at least the lag of
     /// reports, so that it shows the result of the previous phase.
     pub fn handle_report(&mut self, rank: u16, state: RankState) {
-        if self.phase != Phase::Reading {
-            return;
-        }
-        if let Some(report) = self.reports.get_mut(usize::from(rank)) {
-            *report = Some(state);
-        }
-        let states: Vec<RankState> = self.reports.iter().flatten().copied().collect();
-        if states.len() == self.reports.len() {
-            self.resume_from(&states);
+        match self.phase {
+            Phase::Reading => {
+                if let Some(report) = self.reports.get_mut(usize::from(rank)) {
+                    *report = Some(state);
+                }
+                let states: Vec<RankState> = self.reports.iter().flatten().copied().collect();
+                if states.len() == self.reports.len() {
+                    self.resume_from(&states);
+                }
+            }
+            // A delayed hold of an older driver would stop the group.
+            Phase::Idle if self.is_foreign_hold(rank, &state) => self.enter(Phase::Reading),
+            Phase::Settling => self.settle(rank, &state),
+            _ => {}
         }
     }
 
     /// Returns the command of the current phase for a rank.
     fn command(&self, rank: u16) -> Option<Command> {
         match self.phase {
-            // Step 0 is never held, so the command only raises the fencing number of the rank.
-            Phase::Fencing => Some(Command::Release(0)),
-            Phase::Preparing => Some(Command::Prepare(self.version)),
-            Phase::Holding => (rank == self.holder).then_some(Command::Hold(self.step)),
+            Phase::Preparing | Phase::Superseding => Some(Command::Prepare(self.version)),
+            Phase::Claiming | Phase::Holding => {
+                (rank == self.tenure.hold_rank()).then_some(Command::Hold(self.step))
+            }
             Phase::Arming => Some(Command::Arm { version: self.version, step: self.step }),
-            Phase::Disarming | Phase::Clearing => Some(Command::Disarm(self.version)),
+            Phase::Disarming => {
+                let armed = self.armed.iter().find(|(armed, _)| *armed == rank);
+                armed.map(|(_, version)| Command::Disarm(*version))
+            }
             Phase::Releasing => {
                 let held = self.held.iter().find(|(holder, _)| *holder == rank);
                 held.map(|(_, step)| Command::Release(*step))
             }
-            Phase::Reading | Phase::Idle | Phase::Replaced => None,
+            Phase::Reading | Phase::Idle | Phase::Settling | Phase::Replaced => None,
         }
     }
 
@@ -254,33 +294,68 @@
         self.progress.iter().all(|progress| *progress == Progress::Done)
     }
 
+    /// Returns whether the commands of the current phase set or release holds at this driver's rank.
+    fn sends_holds(&self) -> bool {
+        matches!(self.phase, Phase::Claiming | Phase::Holding | Phase::Releasing)
+    }
+
     /// Enters the next phase when all ranks have completed the current one.
     fn advance(&mut self) {
         if !self.all_done() {
             return;
         }
         match self.phase {
-            Phase::Fencing => self.enter(Phase::Reading),
+            Phase::Claiming => {
+                self.has_hold = true;
+                self.cancel_switch();
+            }
+            Phase::Disarming => self.supersede(),
+            Phase::Superseding => {
+                self.prepare_refusals = 0;
+                self.release();
+            }
             Phase::Holding => {
-                self.held = vec![(self.holder, self.step)];
+                self.has_hold = true;
+                self.arms_settled = false;
+                self.held = vec![(self.tenure.hold_rank(), self.step)];
                 self.enter(Phase::Arming);
             }
-            Phase::Arming | Phase::Disarming | Phase::Clearing => self.enter(Phase::Releasing),
-            Phase::Releasing if self.may_linger => {
-                // A delayed hold would never be released, and a delayed release could end a later
-                // hold. A higher fencing number makes the ranks refuse both.
-                self.may_linger = false;
-                self.fence = Fence(self.fence.0 + 1);
-                self.enter(Phase::Fencing);
-            }
+            Phase::Arming => self.release(),
             Phase::Releasing => {
                 self.held.clear();
-                self.enter(Phase::Idle);
+                self.enter(if self.may_linger { Phase::Settling } else { Phase::Idle });
+            }
+            Phase::Preparing | Phase::Reading | Phase::Idle | Phase::Settling | Phase::Replaced => {
             }
-            Phase::Preparing | Phase::Reading | Phase::Idle | Phase::Replaced => {}
         }
     }
 
+    /// Disarms the armed ranks and supersedes the switch that armed them. A hold of this driver
+    /// keeps its first step from starting.
+    fn cancel_switch(&mut self) {
+        if self.armed.is_empty() {
+            self.supersede();
+        } else {
+            self.enter(Phase::Disarming);
+        }
+    }
+
+    fn supersede(&mut self) {
+        self.version = self.tenure.issue_version();
+        self.enter(Phase::Superseding);
+    }
+
+    /// Releases the held steps; no arm command can change what the ranks do any more.
+    fn release(&mut self) {
+        let own = self.tenure.hold_rank();
+        if let Some((_, step)) = self.held.iter().find(|(rank, _)| *rank == own) {
+            self.released = self.released.max(*step);
+        }
+        self.arms_settled = true;
+        self.has_hold = false;
+        self.enter(Phase::Releasing);
+    }
+
     fn handle_refusal(&mut self, rank: usize) {
         match self.phase {
             Phase::Holding if self.hold_retries < HOLD_RETRIES_MAX => {
@@ -289,18 +364,41 @@
                 self.step += HOLD_STRIDE << self.hold_retries;
                 self.progress[rank] = Progress::Due;
             }
-            Phase::Arming => {
-                // Arm commands that are still in transit must fail, so disarm with a higher fencing
-                // number.
-                self.fence = Fence(self.fence.0 + 1);
-                self.enter(Phase::Disarming);
+            Phase::Preparing | Phase::Superseding => {
+                self.prepare_refusals += 1;
+                if self.prepare_refusals < PREPARE_REFUSALS_MAX {
+                    self.enter(Phase::Reading);
+                } else {
+                    self.phase = Phase::Replaced;
+                }
             }
             // The known state no longer matches, for example because the group has a new
-            // incarnation, or every retry of the hold came too late.
+            // incarnation, a newer driver has prepared a version, or the step to claim has started.
             _ => self.enter(Phase::Reading),
         }
     }
 
+    /// Returns whether a report shows a step that another driver holds in this incarnation.
+    fn is_foreign_hold(&self, rank: u16, state: &RankState) -> bool {
+        let foreign = rank != self.tenure.hold_rank() && Some(state.epoch) == self.epoch;
+        foreign && state.held.is_some()
+    }
+
+    /// Ends the settling when the step has started, after which delayed commands for it fail.
+    fn settle(&mut self, rank: u16, state: &RankState) {
+        if Some(state.epoch) != self.epoch {
+            self.enter(Phase::Reading);
+        } else if state.step >= self.step {
+            self.may_linger = false;
+            self.enter(Phase::Idle);
+        } else if rank == self.tenure.hold_rank() {
+            if let Some(step) = state.held {
+                self.held = vec![(rank, step)];
+                self.release();
+            }
+        }
+    }
+
     /// Chooses the next phase from the reports of all ranks.
     ///
     /// Discards the reports and waits for new ones unless all ranks are open and in the same
@@ -311,20 +409,86 @@
             self.reports = vec![None; self.progress.len()];
             return;
         }
-        self.epoch = Some(epoch);
+        if self.epoch != Some(epoch) {
+            self.epoch = Some(epoch);
+            self.arms_settled = false;
+            self.has_hold = false;
+            self.may_linger = false;
+            self.step = 0;
+            self.released = 0;
+        }
+        if self.is_replaced(states) {
+            self.phase = Phase::Replaced;
+            return;
+        }
+        self.collect_holds(states);
+        let armed = states.iter().enumerate();
+        let armed = armed.filter_map(|(rank, state)| Some((rank as u16, state.armed?)));
+        let armed: Vec<(u16, (MapVersion, u64))> = armed.collect();
+        self.armed = armed.iter().map(|(rank, (version, _))| (*rank, *version)).collect();
+        if self.held.is_empty() && armed.is_empty() {
+            let next = if self.may_linger { Phase::Settling } else { Phase::Idle };
+            self.enter(next);
+        } else if self.held.is_empty() && is_armed_alike(states) {
+            // The switch has been released and takes effect as soon as the group advances.
+            self.reports = vec![None; self.progress.len()];
+        } else if self.arms_settled && armed.is_empty() {
+            self.release();
+        } else {
+            let steps = self.held.iter().map(|(_, step)| *step);
+            let first = steps.chain(armed.iter().map(|(_, (_, step))| *step)).min();
+            self.claim(first.unwrap_or_default());
+        }
+    }
+
+    /// Starts to cancel a switch: makes sure that a hold of this driver keeps `first`, the first
+    /// step that is held or armed, from starting.
+    fn claim(&mut self, first: u64) {
+        let own = self.tenure.hold_rank();
+        let own_step = self.held.iter().find(|(rank, _)| *rank == own).map(|(_, step)| *step);
+        let protected = own_step.unwrap_or(first);
+        if protected > first || protected <= self.released {
+            // The rank holds one step at a time, or a delayed release may end the hold. The next
+            // driver holds at another rank.
+            self.phase = Phase::Replaced;
+        } else if own_step.is_some() && self.has_hold {
+            self.cancel_switch();
+        } else {
+            self.step = protected;
+            self.held.retain(|(rank, _)| *rank != own);
+            self.held.push((own, protected));
+            self.enter(Phase::Claiming);
+        }
+    }
+
+    /// Collects the holds of this and of older drivers. A hold that this driver has placed counts
+    /// whether or not the reports show it already.
+    fn collect_holds(&mut self, states: &[RankState]) {
+        let own = self.tenure.hold_rank();
         let holds = states.iter().enumerate();
         self.held = holds.filter_map(|(rank, state)| Some((rank as u16, state.held?))).collect();
-        let armed: Vec<(MapVersion, u64)> = states.iter().filter_map(|state| state.armed).collect();
-        let partly_armed = !armed.is_empty()
-            && (armed.len() < states.len() || armed.iter().any(|one| *one != armed[0]));
-        if partly_armed {
-            // The earlier driver held the step until all ranks were armed; its commands fail now.
-            self.version = armed[0].0;
-            self.enter(Phase::Clearing);
-        } else if self.held.is_empty() {
-            self.enter(Phase::Idle);
-        } else {
-            self.enter(Phase::Releasing);
+        if self.has_hold && !self.held.iter().any(|(rank, _)| *rank == own) {
+            self.held.push((own, self.step));
         }
     }
+
+    /// Returns whether the reports show a version or a hold of a newer driver.
+    fn is_replaced(&self, states: &[RankState]) -> bool {
+        states.iter().enumerate().any(|(rank, state)| {
+            let armed = state.armed.map(|(version, _)| version);
+            let versions = [Some(state.map), state.prepared, armed];
+            let newer_version = versions
+                .into_iter()
+                .flatten()
+                .any(|version| self.tenure.version_owner(version) == Owner::Newer);
+            let newer_hold =
+                state.held.is_some() && self.tenure.hold_owner(rank as u16) == Owner::Newer;
+            newer_version || newer_hold
+        })
+    }
+}
+
+/// Returns whether all ranks are armed with the same version for the same step.
+fn is_armed_alike(states: &[RankState]) -> bool {
+    states[0].armed.is_some() && states.iter().all(|state| state.armed == states[0].armed)
 }
--- a/crates/bw-explore/src/drive.rs
+++ b/crates/bw-explore/src/drive.rs
@@ -1,10 +1,11 @@
 //! Model of a map switch by remote commands: drivers and ranks that may carry commands out late.
 //!
 //! The ranks follow the published rules of the platform. A command without an answer may be carried
-//! out at any later time. A rank refuses a command with a fencing number below the highest that it
-//! has carried out, a command for another incarnation of the group, and an arm or a hold of a step
-//! that has started. A step does not start while a rank holds it. All ranks start a step together,
-//! and those that are armed for it switch their maps.
+//! out at any later time. A rank prepares only versions above all that it has had, and none while it
+//! is armed; it refuses a command for another incarnation of the group, and an arm or a hold of a
+//! step that has started. A step does not start while a rank holds it. All ranks start a step
+//! together, and those that are armed for it switch their maps. Drivers that were replaced go on at
+//! any time, as processes do that were suspended.
 
 use bw_expert::drive::Command;
 use bw_expert::drive::CommandOutcome;
@@ -17,58 +18,95 @@
 
 use crate::search::Model;
 
-/// Difference between the fencing numbers of two drivers.
-const FENCE_STRIDE: u64 = 100;
-
-/// Rules that the ranks enforce. Faulty variants drop one; the exploration has to find a
+/// Rules of ranks and drivers. Faulty variants drop one; the exploration has to find a
 /// counterexample for each of them.
-pub trait RankRules: Clone + Eq + std::hash::Hash {
+pub trait DriveRules: Clone + Eq + std::hash::Hash {
     /// Whether ranks refuse commands of replaced drivers by their lower fencing numbers.
-    const CHECKS_FENCE: bool;
+    const CHECKS_FENCE: bool = false;
     /// Whether a held step waits for its release.
-    const HOLDS: bool;
-    /// Whether reports that are read after all ranks were fenced show the ranks' actual state.
-    const FRESH_REPORTS: bool;
+    const HOLDS: bool = true;
+    /// Whether reports show armed maps and held steps.
+    const FULL_REPORTS: bool = true;
+    /// Whether a rank refuses to prepare versions that are not above all that it has had.
+    const ORDERS_VERSIONS: bool = true;
+    /// Whether a rank arms only the version that it has prepared last.
+    const ARMS_PREPARED: bool = true;
+    /// Whether each driver holds steps at a rank of its own.
+    const OWN_RANKS: bool = true;
+    /// Whether a driver holds a step before it cancels another driver's switch.
+    const CLAIMS: bool = true;
+    /// Whether a driver supersedes the version of a switch that it cancels.
+    const SUPERSEDES: bool = true;
 }
 
-/// Ranks that follow the published rules.
+/// Ranks that follow the published rules and ignore fencing numbers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Sound;
+pub struct Unfenced;
 
-impl RankRules for Sound {
-    const CHECKS_FENCE: bool = true;
-    const HOLDS: bool = true;
-    const FRESH_REPORTS: bool = true;
-}
+impl DriveRules for Unfenced {}
 
-/// Ranks that accept commands of replaced drivers.
+/// Ranks that follow the published rules and enforce fencing numbers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct NoFencing;
+pub struct Fenced;
 
-impl RankRules for NoFencing {
-    const CHECKS_FENCE: bool = false;
-    const HOLDS: bool = true;
-    const FRESH_REPORTS: bool = true;
+impl DriveRules for Fenced {
+    const CHECKS_FENCE: bool = true;
 }
 
 /// Ranks that start held steps.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct NoHold;
 
-impl RankRules for NoHold {
-    const CHECKS_FENCE: bool = true;
+impl DriveRules for NoHold {
     const HOLDS: bool = false;
-    const FRESH_REPORTS: bool = true;
 }
 
 /// Ranks whose reports omit the armed map and the held step.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct StaleReports;
+pub struct PartialReports;
 
-impl RankRules for StaleReports {
-    const CHECKS_FENCE: bool = true;
-    const HOLDS: bool = true;
-    const FRESH_REPORTS: bool = false;
+impl DriveRules for PartialReports {
+    const FULL_REPORTS: bool = false;
+}
+
+/// Ranks that prepare any version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct AnyVersion;
+
+impl DriveRules for AnyVersion {
+    const ORDERS_VERSIONS: bool = false;
+}
+
+/// Ranks that arm any version.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct AnyArm;
+
+impl DriveRules for AnyArm {
+    const ARMS_PREPARED: bool = false;
+}
+
+/// Drivers that all hold steps at the same rank.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct SharedRank;
+
+impl DriveRules for SharedRank {
+    const OWN_RANKS: bool = false;
+}
+
+/// Drivers that cancel a switch without a hold of their own.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct NoClaim;
+
+impl DriveRules for NoClaim {
+    const CLAIMS: bool = false;
+}
+
+/// Drivers that only disarm the ranks of a switch that they cancel.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct NoSuperseding;
+
+impl DriveRules for NoSuperseding {
+    const SUPERSEDES: bool = false;
 }
 
 /// Number of times that each fault or action may still happen, which bounds the state space.
@@ -92,17 +130,19 @@
     fence: Fence,
     state: RankState,
     /// Highest version that the rank has started to prepare; it prepares neither a lower one nor
-    /// the same one again. Kept across restarts.
+    /// the same one again.
     max_version: MapVersion,
 }
 
 /// A command in flight.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 struct SentCommand {
     driver: u8,
     command: RankCommand,
     /// Whether the driver still waits for the answer.
     awaited: bool,
+    /// Whether a faulty driver leaves the command out and goes on as if it had succeeded.
+    omitted: bool,
 }
 
 /// State of one group: its ranks, its drivers and the commands in flight.
@@ -110,6 +150,8 @@
 pub struct DriveModel<R> {
     ranks: Vec<RankModel>,
     drivers: Vec<Driver>,
+    /// For each driver, the rank whose report it reads next.
+    next_reads: Vec<u16>,
     in_flight: Vec<SentCommand>,
     step: u64,
     epoch: u64,
@@ -121,7 +163,7 @@
 
 impl<R> DriveModel<R>
 where
-    R: RankRules,
+    R: DriveRules,
 {
     /// Creates the initial state of a group of `count` ranks with one driver.
     pub fn new(count: u16, faults: Faults) -> Self {
@@ -129,7 +171,8 @@
         let rank = RankModel { state: open, ..RankModel::default() };
         let mut model = Self {
             ranks: vec![rank; usize::from(count)],
-            drivers: vec![Driver::new(count, Fence(FENCE_STRIDE))],
+            drivers: Vec::new(),
+            next_reads: Vec::new(),
             in_flight: Vec::new(),
             step: 1,
             epoch: 1,
@@ -137,34 +180,57 @@
             mixed_maps: false,
             rules: std::marker::PhantomData,
         };
-        model.send_due();
+        model.add_driver();
         model
     }
 
+    /// Adds a driver with the next lease.
+    fn add_driver(&mut self) {
+        let count = self.ranks.len() as u16;
+        let stride = if R::OWN_RANKS { 1 } else { u64::from(count) };
+        let lease = Fence(stride * (self.drivers.len() as u64 + 1));
+        self.drivers.push(Driver::new(count, lease));
+        self.next_reads.push(0);
+    }
+
     /// Returns true if all ranks use a map other than the first.
     pub fn has_switched(&self) -> bool {
         self.ranks.iter().all(|rank| rank.state.map > MapVersion(0))
     }
 
-    /// Returns true if a step is held that no driver will release.
+    /// Returns true if a step is held, a driver is in charge, and no driver will notice the hold.
     pub fn is_stuck(&self) -> bool {
         let held = self.ranks.iter().any(|rank| rank.state.held.is_some());
-        held && self.in_flight.is_empty() && self.drivers.iter().all(is_quiescent)
+        let replaced = |driver: &Driver| driver.phase() == Phase::Replaced;
+        held && self.in_flight.is_empty()
+            && !self.drivers.iter().all(replaced)
+            && self.drivers.iter().all(|driver| replaced(driver) || self.is_unaware(driver))
+    }
+
+    /// Returns true if a driver stays idle whatever reports it receives.
+    fn is_unaware(&self, driver: &Driver) -> bool {
+        let mut driver = driver.clone();
+        for rank in 0..self.ranks.len() {
+            driver.handle_report(rank as u16, self.report(rank));
+        }
+        driver.phase() == Phase::Idle
     }
 
     /// Sends the due commands of all drivers. The commands in flight are kept sorted, so that
     /// states that differ only in the order of sending are equal.
     fn send_due(&mut self) {
         for (index, driver) in self.drivers.iter_mut().enumerate() {
+            let omitted = match driver.phase() {
+                Phase::Claiming => !R::CLAIMS,
+                Phase::Superseding => !R::SUPERSEDES,
+                _ => false,
+            };
             for command in driver.due_commands() {
                 let driver = index as u8;
-                self.in_flight.push(SentCommand { driver, command, awaited: true });
+                self.in_flight.push(SentCommand { driver, command, awaited: true, omitted });
             }
         }
-        self.in_flight.sort_by_key(|sent| {
-            let RankCommand { rank, fence, command, .. } = sent.command;
-            (sent.driver, rank, fence, format!("{command:?}"), sent.awaited)
-        });
+        self.in_flight.sort_unstable();
     }
 
     /// Applies a command at its rank and returns the command's outcome.
@@ -174,7 +240,7 @@
         if R::CHECKS_FENCE && command.fence < rank.fence {
             return CommandOutcome::Stale;
         }
-        if command.epoch.is_some_and(|expected| expected != epoch) {
+        if command.epoch != epoch {
             return CommandOutcome::Refused;
         }
         let state = &mut rank.state;
@@ -183,7 +249,9 @@
                 let prepared = state.prepared == Some(version) || state.map == version;
                 if prepared {
                     CommandOutcome::Done
-                } else if version <= rank.max_version || state.armed.is_some() {
+                } else if (R::ORDERS_VERSIONS && version <= rank.max_version)
+                    || state.armed.is_some()
+                {
                     CommandOutcome::Refused
                 } else {
                     rank.max_version = version;
@@ -192,7 +260,7 @@
                 }
             }
             Command::Arm { version, step: start } => {
-                if state.prepared != Some(version) || start <= step {
+                if (R::ARMS_PREPARED && state.prepared != Some(version)) || start <= step {
                     CommandOutcome::Refused
                 } else {
                     state.armed = Some((version, start));
@@ -260,16 +328,17 @@
                 step: self.step,
                 ..RankState::default()
             };
-            // Only the crashed rank, rank 0, loses its fencing number.
+            // Only the crashed rank, rank 0, loses its fencing number. Whether the others remember
+            // the versions that they have had is not published.
             let fence = if index == 0 { Fence(0) } else { rank.fence };
-            *rank = RankModel { fence, state, max_version: rank.max_version };
+            *rank = RankModel { fence, state, max_version: MapVersion(0) };
         }
     }
 
     /// Returns the state that a rank reports to a driver.
     fn report(&self, rank: usize) -> RankState {
         let state = self.ranks[rank].state;
-        if R::FRESH_REPORTS {
+        if R::FULL_REPORTS {
             state
         } else {
             RankState { armed: None, held: None, ..state }
@@ -282,7 +351,8 @@
         for index in 0..self.in_flight.len() {
             let mut model = self.clone();
             let sent = model.in_flight.remove(index);
-            let outcome = model.execute(&sent.command);
+            let outcome =
+                if sent.omitted { CommandOutcome::Done } else { model.execute(&sent.command) };
             if sent.awaited {
                 let mut unanswered = model.clone();
                 model.deliver_outcome(&sent, outcome);
@@ -308,31 +378,51 @@
         self.send_due();
     }
 
+    /// Adds the transition in which a reading driver receives the next report. Reports of different
+    /// ranks arrive one after another, so they may show different times.
+    fn reading_transition(&self, index: usize, next: &mut Vec<Self>) {
+        let mut model = self.clone();
+        let rank = model.next_reads[index];
+        model.drivers[index].handle_report(rank, self.report(usize::from(rank)));
+        let reading = model.drivers[index].phase() == Phase::Reading;
+        let following = (rank + 1) % model.ranks.len() as u16;
+        model.next_reads[index] = if reading { following } else { 0 };
+        model.send_due();
+        next.push(model);
+    }
+
+    /// Adds the transitions in which a driver that is not reading reacts to a report.
+    fn report_transitions(&self, index: usize, next: &mut Vec<Self>) {
+        for rank in 0..self.ranks.len() {
+            let mut model = self.clone();
+            model.drivers[index].handle_report(rank as u16, self.report(rank));
+            if model.drivers[index] != self.drivers[index] {
+                model.send_due();
+                next.push(model);
+            }
+        }
+    }
+
     /// Adds the transitions that a driver makes itself: reading reports, starting a switch,
     /// choosing the step to hold.
     fn driver_transitions(&self, next: &mut Vec<Self>) {
         for index in 0..self.drivers.len() {
             let driver = &self.drivers[index];
             if driver.phase() == Phase::Reading {
-                let mut model = self.clone();
-                for rank in 0..model.ranks.len() {
-                    let state = model.report(rank);
-                    model.drivers[index].handle_report(rank as u16, state);
-                }
-                model.send_due();
-                next.push(model);
+                self.reading_transition(index, next);
+            } else {
+                self.report_transitions(index, next);
             }
             if driver.phase() == Phase::Idle && self.faults.switches > 0 {
                 let mut model = self.clone();
                 model.faults.switches -= 1;
-                let version = MapVersion(driver.fence().0.max(driver.version().0 + 1));
-                model.drivers[index].start_switch(version);
+                model.drivers[index].start_switch();
                 model.send_due();
                 next.push(model);
             }
             if driver.is_prepared() {
                 let mut model = self.clone();
-                model.drivers[index].hold(self.step + 1, 0);
+                model.drivers[index].hold(self.step + 1);
                 model.send_due();
                 next.push(model);
             }
@@ -340,14 +430,14 @@
     }
 }
 
-/// Returns true if a driver is idle or replaced, so that it has no commands to send.
+/// Returns true if a driver has no commands to send.
 fn is_quiescent(driver: &Driver) -> bool {
-    matches!(driver.phase(), Phase::Idle | Phase::Replaced)
+    matches!(driver.phase(), Phase::Idle | Phase::Settling | Phase::Replaced)
 }
 
 impl<R> Model for DriveModel<R>
 where
-    R: RankRules,
+    R: DriveRules,
 {
     fn successors(&self) -> Vec<Self> {
         let mut next = Vec::new();
@@ -369,10 +459,7 @@
         if self.faults.takeovers > 0 {
             let mut model = self.clone();
             model.faults.takeovers -= 1;
-            let fence = Fence(FENCE_STRIDE * (model.drivers.len() as u64 + 1));
-            let count = model.ranks.len() as u16;
-            model.drivers.push(Driver::new(count, fence));
-            model.send_due();
+            model.add_driver();
             next.push(model);
         }
         next
--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -9,11 +9,9 @@
 use bw_expert::policy::urgency::gain_needed;
 use bw_expert::policy::urgency::is_low_load;
 use bw_http::Client;
-use bw_model::MapVersion;
 use log::info;
 
 use super::calls::read_counts;
-use super::calls::read_held_experts;
 use super::calls::Call;
 use super::calls::Event;
 use super::group::Group;
@@ -58,7 +56,7 @@
         calls: &mut Vec<Call>,
     ) {
         if group.map.is_none() {
-            request_held_experts(group, client, calls);
+            group.request_held_experts(client, calls);
             return;
         }
         if group.pending_counts == 0 && group.driver.phase() == Phase::Idle {
@@ -72,7 +70,8 @@
         if group.driver.phase() != Phase::Idle || group.planning {
             return;
         }
-        if group.pending_reads == 0 && now.saturating_sub(group.reports_at) >= REPORT_INTERVAL {
+        let reports_due = now.saturating_sub(group.reports_at) >= REPORT_INTERVAL;
+        if reports_due && group.can_request_reports(now) {
             group.reports_at = now;
             group.request_reports(client, calls);
         }
@@ -144,7 +143,7 @@
         let expert_copy_secs = group.shape.bytes / group.shape.copy_rate.max(1.0);
         let most = most_received(&plan.next, &plan.before);
         group.copy_poll = now + Duration::from_secs_f64(expert_copy_secs * most as f64);
-        let version = MapVersion(group.driver.fence().0.max(group.driver.version().0 + 1));
+        let Some(version) = group.driver.start_switch() else { return };
         info!(
             "event=place group={} version={version} skew_before={:.3} skew_after={:.3} \
              received={received} step={} step_ms={}",
@@ -156,20 +155,6 @@
         );
         group.next_map = Some(plan.next);
         group.switched_at = now;
-        group.driver.start_switch(version);
-    }
-}
-
-/// Requests the held experts of all ranks, unless earlier reads are pending.
-fn request_held_experts(group: &mut Group, client: &Client, calls: &mut Vec<Call>) {
-    if group.pending_reads > 0 {
-        return;
-    }
-    group.held_experts.clear();
-    for (rank, address) in group.view.addresses() {
-        group.pending_reads += 1;
-        let name = group.view.name.clone();
-        calls.push(Box::pin(read_held_experts(client.clone(), name, rank, address)));
     }
 }
 
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -17,13 +17,11 @@
 use bw_model::Fence;
 use log::info;
 
+use super::calls::read_held_experts;
 use super::calls::read_report;
 use super::calls::Call;
 use crate::endpoints::GroupView;
 
-/// Number of low bits in a driver's fencing number that the driver may use up on its own; the bits
-/// above them hold the fencing number of the duty.
-const FENCE_BITS: u32 = 24;
 /// Minimum pace at which a rank counts as slow.
 const SLOW_PACE: f64 = 1.15;
 /// Shortest and longest length that a step is assumed to have.
@@ -118,10 +116,10 @@
         view: GroupView,
         engine: &Engine,
         shape: ExpertShape,
-        fence: Fence,
+        lease: Fence,
         now: Duration,
     ) -> Self {
-        let driver = Driver::new(view.ranks.len() as u16, Fence(fence.0 << FENCE_BITS));
+        let driver = Driver::new(view.ranks.len() as u16, lease);
         let phase = driver.phase();
         Self {
             sampler: Sampler::new(shape.sets, shape.experts),
@@ -175,7 +173,7 @@
                     self.map = Some(next);
                 }
             }
-            (_, Phase::Reading | Phase::Fencing | Phase::Clearing | Phase::Disarming) => {
+            (_, Phase::Reading) => {
                 self.map = None;
                 self.next_map = None;
                 self.switch_step = 0;
@@ -185,6 +183,29 @@
         }
     }
 
+    /// Returns the map that the prepare commands of the current phase carry; `None` while it is
+    /// unknown.
+    pub fn map_to_prepare(&self) -> Option<&[Placement]> {
+        match self.driver.phase() {
+            Phase::Superseding => self.map.as_deref(),
+            _ => self.next_map.as_deref().or(Some(&[])),
+        }
+    }
+
+    /// Requests the experts that the ranks hold, which show the map in use, unless earlier reads are
+    /// pending.
+    pub fn request_held_experts(&mut self, client: &Client, calls: &mut Vec<Call>) {
+        if self.pending_reads > 0 {
+            return;
+        }
+        self.held_experts.clear();
+        for (rank, address) in self.view.addresses() {
+            self.pending_reads += 1;
+            let name = self.view.name.clone();
+            calls.push(Box::pin(read_held_experts(client.clone(), name, rank, address)));
+        }
+    }
+
     /// Requests the reports of all ranks.
     pub fn request_reports(&mut self, client: &Client, calls: &mut Vec<Call>) {
         for (rank, address) in self.view.addresses() {
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -16,6 +16,7 @@
 use bw_duty::Lease;
 use bw_expert::drive::CommandOutcome;
 use bw_expert::drive::Phase;
+use bw_expert::drive::RANKS_MIN;
 use bw_http::Client;
 use bw_kernel::BootClock;
 use bw_kernel::Stop;
@@ -148,6 +149,9 @@
 
     /// Updates the groups from the configuration and the endpoint list. The driver of a group with
     /// a new incarnation reads the state of all ranks again.
+    ///
+    /// Keeps the drivers of groups that are not listed for a time, because a second driver under the
+    /// same lease would not know which commands of the first one are still on the way.
     fn update_groups(&self, groups: &mut BTreeMap<String, Group>, fence: Fence) {
         let Some(catalog) = self.config.current() else { return };
         let now = self.clock.now();
@@ -157,10 +161,16 @@
             let Some(shape) = &engine.experts else { continue };
             let pause = catalog.shortest_pause(&service.name).unwrap_or_default();
             for view in self.endpoints.groups(&service.name, now) {
-                views.insert(view.name.clone(), (view, engine.clone(), shape.clone(), pause));
+                if view.ranks.len() >= usize::from(RANKS_MIN) {
+                    views.insert(view.name.clone(), (view, engine.clone(), shape.clone(), pause));
+                }
+            }
+        }
+        for (name, group) in groups.iter_mut() {
+            if !views.contains_key(name) {
+                group.view.ranks.fill(None);
             }
         }
-        groups.retain(|name, _| views.contains_key(name));
         for (name, (view, engine, shape, pause)) in views {
             match groups.get_mut(&name) {
                 Some(group) if group.view.ranks.len() == view.ranks.len() => {
@@ -171,7 +181,11 @@
                         group.driver.reread();
                     }
                 }
-                _ => {
+                Some(_) => {
+                    info!("event=group_resized group={name} ranks={}", view.ranks.len());
+                    self.peers.resign_duty(now);
+                }
+                None => {
                     let mut group = Group::new(view, &engine, shape, fence, now);
                     group.max_pause = pause;
                     groups.insert(name, group);
@@ -255,14 +269,13 @@
         let now = self.clock.now();
         let mut calls: Vec<Call> = Vec::new();
         self.update_phase(group, now);
-        let holds_step = matches!(group.phase, Phase::Holding | Phase::Arming | Phase::Disarming);
-        if holds_step && now.saturating_sub(group.phase_since) > STUCK_TIMEOUT {
+        if group.driver.may_stall_group() && now.saturating_sub(group.phase_since) > STUCK_TIMEOUT {
             warn!("event=switch_stuck group={} phase={:?}", group.view.name, group.phase);
             self.peers.resign_duty(now);
             return calls;
         }
         match group.phase {
-            Phase::Reading if group.can_request_reports(now) => {
+            Phase::Reading | Phase::Settling if group.can_request_reports(now) => {
                 group.phase_since = now;
                 group.request_reports(client, &mut calls);
             }
@@ -271,7 +284,7 @@
                 if group.driver.is_prepared() {
                     let step = group.expected_step(now) + STEP_MARGIN;
                     group.switch_step = step;
-                    group.driver.hold(step, 0);
+                    group.driver.hold(step);
                 } else if now >= group.copy_poll {
                     group.copy_poll = now + COPY_POLL_INTERVAL;
                     group.driver.poll();
@@ -280,12 +293,16 @@
             _ => {}
         }
         self.update_phase(group, now);
-        let map = group.next_map.as_deref().unwrap_or(&[]);
+        if group.map_to_prepare().is_none() {
+            group.request_held_experts(client, &mut calls);
+            return calls;
+        }
         for command in group.driver.due_commands() {
             let Some(address) = group.view.address(command.rank) else {
                 group.driver.handle_outcome(&command, CommandOutcome::Unknown);
                 continue;
             };
+            let map = group.map_to_prepare().unwrap_or_default();
             let body = engines::encode_order(&command, map);
             calls.push(Box::pin(send_command(
                 client.clone(),
@@ -302,15 +319,16 @@
 /// Returns the label of a phase in metrics.
 fn phase_label(phase: Phase) -> &'static str {
     match phase {
-        Phase::Fencing => "fencing",
         Phase::Reading => "reading",
-        Phase::Clearing => "clearing",
+        Phase::Claiming => "claiming",
+        Phase::Disarming => "disarming",
+        Phase::Superseding => "superseding",
         Phase::Idle => "idle",
         Phase::Preparing => "preparing",
         Phase::Holding => "holding",
         Phase::Arming => "arming",
-        Phase::Disarming => "disarming",
         Phase::Releasing => "releasing",
+        Phase::Settling => "settling",
         Phase::Replaced => "replaced",
     }
 }
