Spread a large new configuration among gateways in time, and keep callers an address in outages

When the store was back, one restarted gateway had version 32 first; 48 gateways fetched it from that one at once, through 40 to 200 Mbit/s and a quarter of a core, and each fetch ran into its 1.5 s limit; then all asked the next one. While a fetch was pending, the gateway's own watch was not polled. Versions came into force 7 s late.

Change: gateways send each other large objects compressed, encoded once for all followers; a fetch runs beside the own source; the peer is drawn among those that announced the version. A directory whose gateways are all alive but not ready, as in an outage longer than proofs last, returns them: they serve public routes and tell the others truthfully that nothing ran.

--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -243,6 +243,11 @@
         self.peers.values().filter(move |peer| peer.is_live(now)).map(|peer| &peer.address)
     }
 
+    /// Returns the peers that are alive and not leaving, whether or not they are ready.
+    pub fn present(&self, now: Duration) -> impl Iterator<Item = &PeerAddress> {
+        self.peers.values().filter(move |peer| peer.is_present(now)).map(|peer| &peer.address)
+    }
+
     /// Returns the peers in a data centre that are present.
     pub fn in_centre(&self, centre: &str, now: Duration) -> Vec<LocalPeer<SocketAddr>> {
         let present = self
--- a/crates/bw-gateway/src/config.rs
+++ b/crates/bw-gateway/src/config.rs
@@ -10,27 +10,36 @@
 use bw_direct::Catalog;
 use bw_model::Version;
 use log::info;
+use rand::Rng;
 use tokio::sync::Notify;
 
 struct State {
     catalog: Option<Arc<Catalog>>,
     /// Time up to which every accepted change is known to be in force at this gateway.
     proof: Option<Duration>,
-    /// A higher version that a peer has, and the address of that peer.
-    ahead_peer: Option<(Version, SocketAddr)>,
+    /// A peer that has a higher version.
+    ahead: Option<AheadPeer>,
+}
+
+/// The highest version that peers have announced, with one of these peers.
+struct AheadPeer {
+    version: Version,
+    address: SocketAddr,
+    /// Number of announcements of the version that the peer was drawn from.
+    announced: u32,
 }
 
 /// The configuration, shared by the services of the gateway.
 #[derive(Clone)]
 pub struct Config {
     state: Arc<Mutex<State>>,
-    /// Signals that `ahead_peer` was set.
+    /// Signals that `ahead` was set.
     version_behind: Arc<Notify>,
 }
 
 impl Default for Config {
     fn default() -> Self {
-        let state = State { catalog: None, proof: None, ahead_peer: None };
+        let state = State { catalog: None, proof: None, ahead: None };
         Self { state: Arc::new(Mutex::new(state)), version_behind: Arc::default() }
     }
 }
@@ -84,14 +93,28 @@
     }
 
     /// Records that a peer has a version, and wakes [`Self::newer_peer`] when the version is newer
-    /// than the one in force and no other such peer is recorded yet.
-    pub fn record_peer_version(&self, version: Version, peer: SocketAddr) {
+    /// than the one in force.
+    ///
+    /// Among peers that announce the same version, one is drawn at random, so that the gateways that
+    /// are behind do not all ask the same one.
+    pub fn record_peer_version(&self, version: Version, address: SocketAddr) {
         let mut state = self.lock();
         let known = state.catalog.as_ref().map_or(Version(0), |catalog| catalog.version);
-        if version > known && state.ahead_peer.is_none() {
-            state.ahead_peer = Some((version, peer));
-            self.version_behind.notify_one();
+        if version <= known {
+            return;
         }
+        let ahead = match state.ahead.take() {
+            Some(ahead) if ahead.version > version => ahead,
+            Some(ahead) if ahead.version == version => {
+                let announced = ahead.announced + 1;
+                let drawn = rand::rng().random_ratio(1, announced);
+                let address = if drawn { address } else { ahead.address };
+                AheadPeer { version, address, announced }
+            }
+            _ => AheadPeer { version, address, announced: 1 },
+        };
+        state.ahead = Some(ahead);
+        self.version_behind.notify_one();
     }
 
     /// Waits until a peer is known to have a newer version, and returns the peer's address.
@@ -100,10 +123,8 @@
             self.version_behind.notified().await;
             let mut state = self.lock();
             let known = state.catalog.as_ref().map_or(Version(0), |catalog| catalog.version);
-            if let Some((version, peer)) = state.ahead_peer.take() {
-                if version > known {
-                    return peer;
-                }
+            if let Some(ahead) = state.ahead.take().filter(|ahead| ahead.version > known) {
+                return ahead.address;
             }
         }
     }
--- a/crates/bw-gateway/src/mirror.rs
+++ b/crates/bw-gateway/src/mirror.rs
@@ -24,6 +24,20 @@
     pruned: u64,
 }
 
+/// Identifies the content of a reply to a follower; replies with equal excerpts are equal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Excerpt {
+    kind: String,
+    /// Whether the reply is a list, and not changes.
+    whole: bool,
+    /// Revision up to which the reply shows changes.
+    revision: u64,
+    /// Names and revisions of the objects in the reply.
+    objects: Vec<(String, u64)>,
+    /// Names and last revisions of the removed objects in the reply.
+    removed: Vec<(String, u64)>,
+}
+
 /// Objects by kind, with their most recent changes.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
@@ -64,6 +78,36 @@
         }
     }
 
+    /// Returns what a reply to a follower contains: all objects of a kind, or its changes after a
+    /// revision. `None` as for [`Self::list`] and [`Self::changes`].
+    pub fn excerpt(&self, kind: &str, after: Option<u64>) -> Option<Excerpt> {
+        let known = self.kinds.get(kind)?;
+        if after.is_some_and(|after| after < known.pruned) {
+            return None;
+        }
+        let included = |at: u64| after.is_none_or(|after| at > after);
+        let part = |objects: &BTreeMap<String, (u64, Object)>| -> Vec<(String, u64)> {
+            let objects = objects.values().filter(|(at, _)| included(*at));
+            objects.map(|(_, object)| (object.name.clone(), object.revision)).collect()
+        };
+        let removed = after.map(|_| part(&known.removed)).unwrap_or_default();
+        Some(Excerpt {
+            kind: kind.to_string(),
+            whole: after.is_none(),
+            revision: known.revision.max(after.unwrap_or_default()),
+            objects: part(&known.objects),
+            removed,
+        })
+    }
+
+    /// Returns whether a kind is known up to a revision and has no changes after it.
+    pub fn has_no_changes(&self, kind: &str, after: u64) -> bool {
+        self.kinds.get(kind).is_some_and(|known| {
+            let newest = known.objects.values().chain(known.removed.values());
+            after >= known.pruned && newest.map(|(at, _)| *at).max().unwrap_or_default() <= after
+        })
+    }
+
     /// Returns the objects of a kind; `None` before the first list.
     pub fn list(&self, kind: &str) -> Option<Page> {
         let known = self.kinds.get(kind)?;
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -134,7 +134,11 @@
     }
 
     /// Returns the addresses that callers may connect to: those of all gateways that are alive and
-    /// ready.
+    /// ready, or of all that are alive while none is ready.
+    ///
+    /// No gateway is ready when an outage of the store lasts so long that keys cannot be checked any
+    /// more. They then still serve public routes, and tell other callers that their requests have not
+    /// run and when to come back.
     pub fn caller_addresses(&self, now: Duration) -> Vec<SocketAddr> {
         let state = self.lock();
         let mut addresses: Vec<SocketAddr> =
@@ -142,6 +146,12 @@
         if state.ready && !state.own.leaving {
             addresses.push(self.address.callers);
         }
+        if addresses.is_empty() {
+            addresses = state.peers.present(now).map(|peer| peer.callers).collect();
+            if !state.own.leaving {
+                addresses.push(self.address.callers);
+            }
+        }
         addresses
     }
 
--- a/crates/bw-gateway/src/relay.rs
+++ b/crates/bw-gateway/src/relay.rs
@@ -12,10 +12,15 @@
 use bw_adapter::objects::codec::StoreCall;
 use bw_adapter::objects::codec::OBJECTS_PATH;
 use bw_adapter::objects::Change;
-use bw_adapter::objects::Changes;
 use bw_adapter::Object;
+use bw_http::compress::compress;
+use bw_http::compress::GZIP;
+use bw_http::compressed_json_reply;
 use bw_http::json_reply;
 use bw_http::text_reply;
+use bytes::Bytes;
+use hyper::header::ACCEPT_ENCODING;
+use log::warn;
 use tokio::sync::watch;
 use tokio::time::timeout;
 use viz::Request;
@@ -24,15 +29,27 @@
 use viz::Router;
 use viz::StatusCode;
 
+use crate::mirror::Excerpt;
 use crate::mirror::Mirror;
 
 /// Maximum wait of a follower's watch; longer requested waits are reduced to it.
 const WAIT_MAX: Duration = Duration::from_secs(10);
 
+/// Size in bytes from which the body of a reply is compressed, and kept for other followers.
+const COMPRESSED_MIN: usize = 16 * 1024;
+
+/// The last compressed reply. Many followers ask for the same large one at about the same time, when
+/// a configuration has changed.
+struct CompressedReply {
+    excerpt: Excerpt,
+    body: Bytes,
+}
+
 /// The mirror, shared by the services of the gateway.
 #[derive(Clone, Default)]
 pub struct Relay {
     mirror: Arc<Mutex<Mirror>>,
+    compressed: Arc<Mutex<Option<CompressedReply>>>,
     /// Number of updates of the mirror, which wakes the watches of followers.
     changed: Arc<watch::Sender<u64>>,
 }
@@ -71,13 +88,18 @@
     async fn serve(&self, request: &Request) -> Response {
         let query = request.query_string().unwrap_or("");
         match decode_call(request.method(), request.path(), query, &[]) {
-            Ok(StoreCall::List { kind, .. }) => match self.lock().list(&kind) {
-                Some(page) => json_reply(StatusCode::OK, &encode_page(&page)),
-                None => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not known yet".to_string()),
-            },
+            Ok(StoreCall::List { kind, .. }) => {
+                match self.reply(&kind, None, accepts_gzip(request)) {
+                    Some(reply) => reply,
+                    None => {
+                        text_reply(StatusCode::SERVICE_UNAVAILABLE, "not known yet".to_string())
+                    }
+                }
+            }
             Ok(StoreCall::Watch { kind, revision, wait }) => {
-                match self.watch(&kind, revision, wait.min(WAIT_MAX)).await {
-                    Some(changes) => json_reply(StatusCode::OK, &encode_changes(&changes)),
+                self.wait_for_changes(&kind, revision, wait.min(WAIT_MAX)).await;
+                match self.reply(&kind, Some(revision), accepts_gzip(request)) {
+                    Some(reply) => reply,
                     None => text_reply(StatusCode::GONE, "not known any more".to_string()),
                 }
             }
@@ -85,27 +107,62 @@
         }
     }
 
-    async fn watch(&self, kind: &str, after: u64, wait: Duration) -> Option<Changes> {
+    /// Waits at most `wait` until a kind has changes after a revision, or until it is known that the
+    /// revision is too old.
+    async fn wait_for_changes(&self, kind: &str, after: u64, wait: Duration) {
         let mut changed = self.changed.subscribe();
-        let next_changes = async {
-            loop {
-                let changes = self.lock().changes(kind, after);
-                match changes {
-                    Some(changes) if changes.events.is_empty() => {}
-                    changes => return changes,
-                }
+        let change = async {
+            while self.lock().has_no_changes(kind, after) {
                 if changed.changed().await.is_err() {
                     std::future::pending::<()>().await;
                 }
             }
         };
-        match timeout(wait, next_changes).await {
-            Ok(changes) => changes,
-            Err(_) => self.lock().changes(kind, after),
+        // Without a change, the reply tells the follower the revision up to which there is none.
+        let _elapsed = timeout(wait, change).await;
+    }
+
+    /// Returns a reply with all objects of a kind, or with its changes after a revision; `None` as for
+    /// the mirror.
+    fn reply(&self, kind: &str, after: Option<u64>, gzip: bool) -> Option<Response> {
+        let mirror = self.lock();
+        let excerpt = mirror.excerpt(kind, after)?;
+        if gzip {
+            if let Some(known) = self.compressed().as_ref().filter(|known| known.excerpt == excerpt)
+            {
+                return Some(compressed_json_reply(known.body.clone()));
+            }
+        }
+        let body = match after {
+            None => encode_page(&mirror.list(kind)?),
+            Some(after) => encode_changes(&mirror.changes(kind, after)?),
+        };
+        let text = body.to_string();
+        if !gzip || text.len() < COMPRESSED_MIN {
+            return Some(json_reply(StatusCode::OK, &body));
+        }
+        match compress(text.as_bytes()) {
+            Ok(body) => {
+                *self.compressed() = Some(CompressedReply { excerpt, body: body.clone() });
+                Some(compressed_json_reply(body))
+            }
+            Err(error) => {
+                warn!("event=reply_uncompressed kind={kind} reason=\"{error}\"");
+                Some(json_reply(StatusCode::OK, &body))
+            }
         }
     }
 
+    fn compressed(&self) -> MutexGuard<'_, Option<CompressedReply>> {
+        self.compressed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Mirror> {
         self.mirror.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+fn accepts_gzip(request: &Request) -> bool {
+    let accepted = request.headers().get(ACCEPT_ENCODING);
+    accepted.is_some_and(|value| value.as_bytes() == GZIP.as_bytes())
+}
--- a/crates/bw-gateway/src/sync/config.rs
+++ b/crates/bw-gateway/src/sync/config.rs
@@ -3,7 +3,6 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
 
 use bw_adapter::catalog;
@@ -57,17 +56,21 @@
 
     /// Runs `work`, which waits for a source, and meanwhile fetches newer versions from peers that
     /// have them. A gateway whose source is silent, or that waits to retry a failed call, must not
-    /// fall behind.
+    /// fall behind; nor must one whose peer is slow while the source has an answer.
     async fn with_peer_updates<F>(&self, work: F) -> F::Output
     where
         F: Future,
     {
-        let mut work = pin!(work);
+        tokio::select! {
+            result = work => result,
+            never = self.fetch_newer_configs() => match never {},
+        }
+    }
+
+    async fn fetch_newer_configs(&self) -> Infallible {
         loop {
-            tokio::select! {
-                result = &mut work => return result,
-                peer = self.config.newer_peer() => self.fetch_config(peer).await,
-            }
+            let peer = self.config.newer_peer().await;
+            self.fetch_config(peer).await;
         }
     }
 
--- a/crates/bw-gateway/src/sync/source.rs
+++ b/crates/bw-gateway/src/sync/source.rs
@@ -21,7 +21,7 @@
 impl Feed {
     /// Creates the feed of the peer at `address`.
     pub fn peer(address: SocketAddr) -> Self {
-        Self::Peer(ObjectClient::new(&format!("http://{address}")))
+        Self::Peer(ObjectClient::of_peer(&format!("http://{address}")))
     }
 
     /// Reads all objects of a kind, and the revision after which to watch.
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bw_adapter::stand_in::endpoint::listing_object;
@@ -11,8 +13,12 @@
 use bw_direct::catalog::Workspace;
 use bw_direct::endpoint::Endpoint;
 use bw_direct::endpoint::Phase;
+use bw_direct::peers::Peers;
+use bw_direct::peers::LIVE_TIMEOUT;
 use bw_fake::endpoint::Behaviour;
 use bw_fake::platform::Faults;
+use bw_gateway::config::Config;
+use bw_model::Version;
 use common::draft;
 use common::listing;
 use common::news;
@@ -238,3 +244,44 @@
     }
     rig.stop().await;
 }
+
+/// Guards against gateways that all fetch a new version from the first peer that announces it. The
+/// peers that announce it while a fetch is pending share the next ones.
+#[tokio::test]
+async fn a_newer_version_is_fetched_from_any_of_the_peers_that_announce_it() {
+    let peers: Vec<SocketAddr> = (1..=4).map(|port| ([127, 0, 0, 1], port).into()).collect();
+    let mut drawn = BTreeSet::new();
+    for _ in 0..200 {
+        let config = Config::default();
+        for peer in &peers {
+            config.record_peer_version(Version(2), *peer);
+        }
+        // An older version announced later does not take the place of the newest one.
+        config.record_peer_version(Version(1), ([127, 0, 0, 1], 9).into());
+        drawn.insert(config.newer_peer().await);
+    }
+    assert_eq!(drawn, peers.into_iter().collect());
+}
+
+/// In an outage of the store that outlasts the proofs, no gateway is ready. Callers without an address
+/// would get no answer at all; with one they learn that nothing has run and when to come back.
+#[test]
+fn callers_get_the_addresses_of_living_gateways_while_none_is_ready() {
+    let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let now = Duration::from_secs(10);
+    let mut peers = Peers::new("a".to_string());
+    let mut receive = |instance: &str, port, ready, leaving| {
+        let mut news = news(instance, "a", address(port), 1, 1);
+        news.ready = ready;
+        news.state.leaving = leaving;
+        peers.receive(&news, now);
+    };
+    receive("b", 1, false, false);
+    receive("c", 2, false, true);
+    let present = |peers: &Peers| -> Vec<SocketAddr> {
+        peers.present(now).map(|peer| peer.callers).collect()
+    };
+    assert_eq!(peers.live(now).count(), 0);
+    assert_eq!(present(&peers), [address(1)]);
+    assert_eq!(peers.present(now + LIVE_TIMEOUT * 2).count(), 0);
+}
--- a/crates/bw-http/src/client.rs
+++ b/crates/bw-http/src/client.rs
@@ -7,6 +7,9 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::ACCEPT_ENCODING;
+use hyper::header::CONTENT_ENCODING;
+use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
 use hyper::Response;
@@ -17,6 +20,9 @@
 use serde::Serialize;
 use tokio::time::timeout;
 
+use crate::compress::decompress;
+use crate::compress::GZIP;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -62,6 +68,8 @@
 #[derive(Clone)]
 pub struct Client {
     inner: HyperClient<HttpConnector, Full<Bytes>>,
+    /// Whether replies may be compressed.
+    accepts_gzip: bool,
 }
 
 impl Default for Client {
@@ -82,7 +90,12 @@
             // A request is sent at most once; the caller decides whether to repeat it.
             .retry_canceled_requests(false)
             .build(connector);
-        Self { inner }
+        Self { inner, accepts_gzip: false }
+    }
+
+    /// Accepts compressed replies, which the client decompresses.
+    pub fn accept_gzip(self) -> Self {
+        Self { accepts_gzip: true, ..self }
     }
 
     /// Sends `request` and returns the reply once its head has arrived; the body may still follow.
@@ -122,18 +135,27 @@
                 .map_err(|error| ClientError::InvalidRequest(error.to_string()))?,
             None => Vec::new(),
         };
-        let request = Request::builder()
-            .method(method)
-            .uri(url)
-            .header("content-type", "application/json")
+        let mut request =
+            Request::builder().method(method).uri(url).header("content-type", "application/json");
+        if self.accepts_gzip {
+            request = request.header(ACCEPT_ENCODING, GZIP);
+        }
+        let request = request
             .body(Full::from(bytes))
             .map_err(|error| ClientError::InvalidRequest(error.to_string()))?;
         let exchange = async {
             let response = self.send(request, limit).await?;
             let status = response.status().as_u16();
+            let compressed = is_gzip(response.headers());
             let collected = response.into_body().collect().await;
             let body = collected.map_err(|error| ClientError::Broken(error.to_string()))?;
-            Ok(Reply { status, body: body.to_bytes() })
+            let body = body.to_bytes();
+            if !compressed {
+                return Ok(Reply { status, body });
+            }
+            let body = decompress(&body)
+                .map_err(|error| ClientError::InvalidReply(format!("bad gzip body: {error}")))?;
+            Ok(Reply { status, body })
         };
         timeout(limit, exchange).await.unwrap_or(Err(ClientError::Timeout(limit)))
     }
@@ -147,6 +169,11 @@
     }
 }
 
+/// Returns whether a message with these headers has a compressed body.
+fn is_gzip(headers: &HeaderMap) -> bool {
+    headers.get(CONTENT_ENCODING).is_some_and(|value| value.as_bytes() == GZIP.as_bytes())
+}
+
 /// Formats an error with its chain of causes, which hyper's own text omits.
 fn describe(error: &dyn std::error::Error) -> String {
     let mut text = error.to_string();
--- a/crates/bw-http/src/lib.rs
+++ b/crates/bw-http/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod body;
 pub mod channel;
 pub mod client;
+pub mod compress;
 pub mod head_guard;
 pub mod reply;
 pub mod server;
@@ -16,6 +17,7 @@
 pub use client::ClientError;
 pub use head_guard::BusyToken;
 pub use head_guard::HeadGuard;
+pub use reply::compressed_json_reply;
 pub use reply::json_reply;
 pub use reply::text_reply;
 pub use server::bind;
--- a/crates/bw-http/src/reply.rs
+++ b/crates/bw-http/src/reply.rs
@@ -1,11 +1,16 @@
 //! Builds replies with a content type.
 
+use bytes::Bytes;
+use hyper::header::HeaderValue;
+use hyper::header::CONTENT_ENCODING;
 use serde::Serialize;
 use viz::Body;
 use viz::Response;
 use viz::ResponseExt;
 use viz::StatusCode;
 
+use crate::compress::GZIP;
+
 /// Returns a reply whose body is `value` as JSON.
 ///
 /// When `value` cannot be serialised, the reply has status 500 and an `error` field instead.
@@ -22,6 +27,13 @@
     response
 }
 
+/// Returns a reply whose body is JSON text that was compressed with [`crate::compress::compress`].
+pub fn compressed_json_reply(body: Bytes) -> Response {
+    let mut response = Response::with(http_body_util::Full::from(body), "application/json");
+    response.headers_mut().insert(CONTENT_ENCODING, HeaderValue::from_static(GZIP));
+    response
+}
+
 /// Returns a reply in plain text, as UTF-8.
 pub fn text_reply(status: StatusCode, text: String) -> Response {
     let body: Body = http_body_util::Full::from(text).into();
