End broken streams visibly to slow callers, and pass over endpoints that cannot be reached

Examined: bw-agent ages tombstones by a clock that stands still while suspended. That keeps a tombstone longer than its retention, which is the safe side, so it stays.

--- a/crates/bw-direct/src/attempts.rs
+++ b/crates/bw-direct/src/attempts.rs
@@ -2,8 +2,8 @@
 
 use crate::catalog::Route;
 
-/// Number of endpoints that reject a request, or that it cannot be sent to, after which the request
-/// is given up. None of these endpoints ran the request.
+/// Number of endpoints that reject a request after which the request is given up. None of these
+/// endpoints ran the request.
 const REJECTIONS_MAX: u32 = 3;
 
 /// How a send to an endpoint ended without an answer for the caller.
@@ -40,20 +40,12 @@
     /// Number of sends after which the request may have run.
     runs: u32,
     rejections: u32,
-    /// Number of sends of which nothing was written.
-    unsent: u32,
 }
 
 impl Attempts {
     /// Creates the history of a request of `route` that has not been sent.
     pub fn new(route: &Route) -> Self {
-        Self {
-            idempotent: route.is_idempotent(),
-            limit: route.attempts,
-            runs: 0,
-            rejections: 0,
-            unsent: 0,
-        }
+        Self { idempotent: route.is_idempotent(), limit: route.attempts, runs: 0, rejections: 0 }
     }
 
     /// Returns whether the request may have run.
@@ -70,13 +62,14 @@
     /// budget allow a retry.
     pub fn record(&mut self, end: SendEnd, affordable: bool) -> Decision {
         match end {
-            SendEnd::NotSent => self.unsent += 1,
+            // An endpoint that cannot be reached says nothing about the request, which is not sent
+            // to it again. The others may still run it.
+            SendEnd::NotSent => {}
             SendEnd::NotRun => self.rejections += 1,
             SendEnd::Failed | SendEnd::MayHaveRun => self.runs += 1,
         }
         let ran = self.runs > 0;
-        let within_limits =
-            self.runs < self.limit && self.rejections + self.unsent < REJECTIONS_MAX;
+        let within_limits = self.runs < self.limit && self.rejections < REJECTIONS_MAX;
         if affordable && within_limits && (self.idempotent || !ran) {
             return Decision::Retry;
         }
--- a/crates/bw-direct/tests/attempts.rs
+++ b/crates/bw-direct/tests/attempts.rs
@@ -87,3 +87,14 @@
         prop_assert!(ran <= 12);
     }
 }
+
+/// Several endpoints of a service are dead and still listed. A request that cannot be sent to them
+/// must reach a live one, however many dead ones it was placed at first.
+#[test]
+fn endpoints_that_cannot_be_reached_do_not_count_against_a_request() {
+    let mut attempts = Attempts::new(&route(RouteKind::Unsafe, false, 1));
+    for _ in 0..10 {
+        assert_eq!(attempts.record(SendEnd::NotSent, true), Decision::Retry);
+    }
+    assert_eq!(attempts.record(SendEnd::NotSent, false), Decision::Refuse);
+}
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -7,9 +7,8 @@
 use bw_direct::attempts::SendEnd;
 use bw_direct::endpoint::EndpointKey;
 use bw_direct::events::Events;
-use bytes::Bytes;
 use log::info;
-use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use super::exchange::next_bytes;
 use super::exchange::EndpointAnswer;
@@ -18,8 +17,8 @@
 use super::outcome::answer;
 use super::outcome::Outcome;
 use super::Forwarder;
-use crate::reply::ReplyBody;
-use crate::reply::StreamBroken;
+use crate::reply::event_stream;
+use crate::reply::EventSender;
 
 /// Capacity of the channel to the caller's connection, in batches of one or more events.
 const CHANNEL_CAPACITY: usize = 8;
@@ -31,7 +30,7 @@
 struct Stream {
     forwarder: Forwarder,
     job: Job,
-    sender: mpsc::Sender<Result<Bytes, StreamBroken>>,
+    sender: EventSender,
     /// Id of the last event that was forwarded.
     last_event: Option<u64>,
     /// Time at which the last event was forwarded.
@@ -58,7 +57,7 @@
     pub(super) fn start_stream(&self, job: Job, started: StartedStream) -> Outcome {
         let status = started.opened.parts.status;
         let headers = reply_headers(&started.opened.parts);
-        let (sender, receiver) = mpsc::channel(CHANNEL_CAPACITY);
+        let (sender, body) = event_stream(CHANNEL_CAPACITY);
         let (last_event, forwarded_at) = (job.head.last_event, self.clock.now());
         let stream = Stream {
             forwarder: self.clone(),
@@ -70,7 +69,7 @@
             events: 0,
         };
         tokio::spawn(stream.run(started));
-        answer(status.as_u16(), headers, ReplyBody::Events(receiver))
+        answer(status.as_u16(), headers, body)
     }
 }
 
@@ -86,20 +85,14 @@
                     break COMPLETE;
                 }
                 PartEnd::CallerLeft => break "caller_left",
-                PartEnd::Expired => {
-                    self.abort();
-                    break "expired";
-                }
+                PartEnd::Expired => break "expired",
                 PartEnd::Broken(reason) => {
                     self.forwarder.endpoints.record_failure(chosen.key, self.forwarder.clock.now());
                     self.forwarder.suspects.record_broken(&chosen, self.job.fingerprint);
                     self.job.append_trace(&format!("broken:{reason}"));
                     match self.resume().await {
                         Some(next) => part = next,
-                        None => {
-                            self.abort();
-                            break "broken";
-                        }
+                        None => break "broken",
                     }
                 }
             }
@@ -122,21 +115,17 @@
             self.longest_pause.as_millis(),
             now.saturating_sub(self.job.arrived_at).as_millis()
         );
-    }
-
-    /// Breaks the caller's connection, so that the answer does not look complete.
-    fn abort(&self) {
-        // The send fails if the channel is full because the caller does not read; the end of the
-        // stream's task then closes the channel without the error.
-        let _ = self.sender.try_send(Err(StreamBroken));
+        if result == COMPLETE {
+            self.sender.finish();
+        }
     }
 
     /// Forwards the events that one endpoint sends.
     async fn forward_events(&mut self, started: StartedStream) -> PartEnd {
         let StartedStream { mut opened, mut buffer, first } = started;
         if let Some(events) = first {
-            if !self.send_events(events).await {
-                return PartEnd::CallerLeft;
+            if let Err(end) = self.send_events(events).await {
+                return end;
             }
         }
         loop {
@@ -150,8 +139,8 @@
                 Ok(Some(bytes)) => {
                     if let Some(events) = buffer.push(&bytes) {
                         self.record_pause(opened.placed.chosen.key);
-                        if !self.send_events(events).await {
-                            return PartEnd::CallerLeft;
+                        if let Err(end) = self.send_events(events).await {
+                            return end;
                         }
                     }
                     if buffer.is_oversized() {
@@ -178,14 +167,23 @@
         self.forwarder.endpoints.record_pause(key, now.saturating_sub(self.forwarded_at), now);
     }
 
-    /// Sends events to the caller; returns false if the caller has disconnected.
-    async fn send_events(&mut self, events: Events) -> bool {
+    /// Sends events to the caller.
+    ///
+    /// # Errors
+    /// [`PartEnd::CallerLeft`], or [`PartEnd::Expired`] when the caller did not read until the
+    /// deadline.
+    async fn send_events(&mut self, events: Events) -> Result<(), PartEnd> {
         self.last_event = events.last_id.or(self.last_event);
         self.events += events.count;
         let now = self.forwarder.clock.now();
         self.longest_pause = self.longest_pause.max(now.saturating_sub(self.forwarded_at));
         self.forwarded_at = now;
-        self.sender.send(Ok(events.bytes)).await.is_ok()
+        let remaining = self.job.deadline.saturating_sub(now);
+        match timeout(remaining, self.sender.send(events.bytes)).await {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(PartEnd::CallerLeft),
+            Err(_) => Err(PartEnd::Expired),
+        }
     }
 
     /// Resumes the stream at another endpoint, after the last event that was forwarded. Returns
--- a/crates/bw-gateway/src/reply.rs
+++ b/crates/bw-gateway/src/reply.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 use std::pin::Pin;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
 use std::time::Duration;
@@ -70,7 +73,61 @@
     /// Complete body; `None` once it was sent.
     Whole(Option<Bytes>),
     /// Stream of events, sent as they are received.
-    Events(mpsc::Receiver<Result<Bytes, StreamBroken>>),
+    Events(EventReceiver),
+}
+
+/// Creates a stream of events to a caller that buffers at most `capacity` batches.
+pub fn event_stream(capacity: usize) -> (EventSender, ReplyBody) {
+    let (sender, receiver) = mpsc::channel(capacity);
+    let complete = Arc::new(AtomicBool::new(false));
+    let body = EventReceiver { receiver, complete: complete.clone() };
+    (EventSender { sender, complete }, ReplyBody::Events(body))
+}
+
+/// Sending half of a stream of events. Dropping it breaks the caller's connection after the buffered
+/// events, unless [`Self::finish`] was called.
+#[derive(Debug)]
+pub struct EventSender {
+    sender: mpsc::Sender<Bytes>,
+    complete: Arc<AtomicBool>,
+}
+
+impl EventSender {
+    /// Sends a batch of events; waits while the buffer is full. Returns false if the caller has
+    /// disconnected.
+    pub async fn send(&self, events: Bytes) -> bool {
+        self.sender.send(events).await.is_ok()
+    }
+
+    /// Waits until the caller has disconnected.
+    pub async fn closed(&self) {
+        self.sender.closed().await;
+    }
+
+    /// Ends the stream as complete.
+    pub fn finish(self) {
+        self.complete.store(true, Ordering::Release);
+    }
+}
+
+/// Receiving half of a stream of events.
+#[derive(Debug)]
+pub struct EventReceiver {
+    receiver: mpsc::Receiver<Bytes>,
+    complete: Arc<AtomicBool>,
+}
+
+impl EventReceiver {
+    fn poll_next(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, StreamBroken>>> {
+        self.receiver.poll_recv(context).map(|next| match next {
+            Some(events) => Some(Ok(events)),
+            None if self.complete.load(Ordering::Acquire) => None,
+            None => Some(Err(StreamBroken)),
+        })
+    }
 }
 
 impl Body for ReplyBody {
@@ -84,7 +141,7 @@
         match self.get_mut() {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Events(events) => {
-                events.poll_recv(context).map(|next| next.map(|result| result.map(Frame::data)))
+                events.poll_next(context).map(|next| next.map(|result| result.map(Frame::data)))
             }
         }
     }
