Resign the planning duty when reports show a newer driver, and wait out reports that lag

Cause: a driver that was replaced by a report kept its duty: only outcomes of orders were checked. Now a phase change to Replaced resigns whatever led to it, and a driver none of whose arm commands can still succeed releases again or waits. Refused orders are logged with rank, order, epoch and phase.

--- a/crates/bw-expert/src/drive/driver.rs
+++ b/crates/bw-expert/src/drive/driver.rs
@@ -426,13 +426,14 @@
         let armed = armed.filter_map(|(rank, state)| Some((rank as u16, state.armed?)));
         let armed: Vec<(u16, (MapVersion, u64))> = armed.collect();
         self.armed = armed.iter().map(|(rank, (version, _))| (*rank, *version)).collect();
+        let released = self.held.is_empty() && (self.arms_settled || is_armed_alike(states));
         if self.held.is_empty() && armed.is_empty() {
             let next = if self.may_linger { Phase::Settling } else { Phase::Idle };
             self.enter(next);
-        } else if self.held.is_empty() && is_armed_alike(states) {
-            // The switch has been released and takes effect as soon as the group advances.
+        } else if released {
+            // The switch takes effect as soon as the group advances.
             self.reports = vec![None; self.progress.len()];
-        } else if self.arms_settled && armed.is_empty() {
+        } else if self.arms_settled {
             self.release();
         } else {
             let steps = self.held.iter().map(|(_, step)| *step);
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -200,11 +200,18 @@
         match event {
             Event::Answered(name, command, outcome) => {
                 let Some(group) = groups.get_mut(&name) else { return };
-                group.driver.handle_outcome(&command, outcome);
-                if group.driver.phase() == Phase::Replaced {
-                    info!("event=duty_lost duty={LEASE_NAME} group={name} fence={}", command.fence);
-                    self.peers.resign_duty(now);
+                if matches!(outcome, CommandOutcome::Refused | CommandOutcome::Stale) {
+                    info!(
+                        "event=order_refused group={name} rank={} order={:?} epoch={} \
+                         outcome={outcome:?} phase={:?} step={}",
+                        command.rank,
+                        command.command,
+                        command.epoch,
+                        group.driver.phase(),
+                        group.last_step.0
+                    );
                 }
+                group.driver.handle_outcome(&command, outcome);
             }
             Event::Reported(name, rank, report) => {
                 let Some(group) = groups.get_mut(&name) else { return };
@@ -261,6 +268,10 @@
         if group.driver.phase() != group.phase {
             self.metrics.record_switch(phase_label(group.driver.phase()));
             group.enter_phase(now);
+            if group.phase == Phase::Replaced {
+                info!("event=duty_lost duty={LEASE_NAME} group={}", group.view.name);
+                self.peers.resign_duty(now);
+            }
         }
     }
 
