Move streams off slow ranks, notice them sooner, and copy one expert a rank in each switch

Copies took 0.36 s. - The plan after a switch was refused by all ranks, still armed: counts may show the held step as begun.

Change: streams that can be resumed leave a slow rank as soon as a place elsewhere is free (bw-direct::evacuation); reports are read every 250 ms while steps are longer than before, in every phase, and a rank that turns slow starts a plan without new counts; a switch copies one expert to a rank, the sets with the most skew first, and the next switch goes on from there; a slow rank's experts move at once. The step to hold follows the streams' pauses, and its first retry is two steps later instead of four.

--- a/crates/bw-direct/src/attempts.rs
+++ b/crates/bw-direct/src/attempts.rs
@@ -53,6 +53,12 @@
         self.runs > 0
     }
 
+    /// Returns whether the route allows to run the request at one more endpoint after the present one,
+    /// which is not recorded yet.
+    pub fn may_run_again(&self) -> bool {
+        self.idempotent && self.runs + 1 < self.limit
+    }
+
     /// Returns the number of sends that reached an endpoint, whether or not it ran the request.
     pub fn arrivals(&self) -> u32 {
         self.runs + self.rejections
--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod endpoint;
+pub mod evacuation;
 pub mod events;
 pub mod health;
 pub mod load;
--- a/crates/bw-direct/src/place.rs
+++ b/crates/bw-direct/src/place.rs
@@ -12,6 +12,7 @@
 use smallvec::SmallVec;
 
 use crate::endpoint::EndpointKey;
+use crate::evacuation::PACE_LIMIT;
 use crate::load::Work;
 
 /// Endpoints sampled when no home slot is free.
@@ -21,9 +22,6 @@
 /// Penalty for an endpoint in another data centre; small enough to only break ties between equal
 /// loads.
 const REMOTE_PENALTY: f64 = 0.02;
-/// Pace from which an endpoint receives no new work while faster ones exist: in a group whose
-/// ranks advance together, new work there would delay the requests of all ranks.
-const PACE_LIMIT: f64 = 2.0;
 /// Upper bound on the random part of a score.
 const NOISE_MAX: f64 = 0.05;
 
--- a/crates/bw-expert/src/drive/driver.rs
+++ b/crates/bw-expert/src/drive/driver.rs
@@ -360,8 +360,8 @@
         match self.phase {
             Phase::Holding if self.hold_retries < HOLD_RETRIES_MAX => {
                 // The step has started, so a delayed hold of the step has no effect.
-                self.hold_retries += 1;
                 self.step += HOLD_STRIDE << self.hold_retries;
+                self.hold_retries += 1;
                 self.progress[rank] = Progress::Due;
             }
             Phase::Preparing | Phase::Superseding => {
--- a/crates/bw-expert/src/policy/replicas.rs
+++ b/crates/bw-expert/src/policy/replicas.rs
@@ -90,6 +90,12 @@
         self.ranks.iter().zip(&before.ranks).map(new).sum()
     }
 
+    /// Returns the number of experts that a rank has to receive to change from `before`.
+    pub fn received_by(&self, rank: usize, before: &Placement) -> usize {
+        let held = &before.ranks[rank];
+        self.ranks[rank].iter().filter(|expert| !held.contains(expert)).count()
+    }
+
     /// Returns whether every expert has a holder, no rank holds an expert twice, and no rank
     /// exceeds its limits in a switch from `before`.
     pub fn is_valid(&self, before: &Placement, experts: usize, limits: RankLimits) -> bool {
@@ -114,12 +120,20 @@
     Swap { from: usize, expert: u16, to: usize, other: u16 },
 }
 
-/// Searches for a placement whose slowest rank needs less time.
+/// Searches for a placement whose slowest rank needs less time. `room` is the number of experts that
+/// each rank may receive in this switch, beside the limit of a set.
 ///
-/// Returns `before` when there is no demand or when `paces` has another number of ranks.
-pub fn improve(before: &Placement, demand: &[f64], paces: &[f64], limits: RankLimits) -> Placement {
+/// Returns `before` when there is no demand or when `paces` or `room` has another number of ranks.
+pub fn improve(
+    before: &Placement,
+    demand: &[f64],
+    paces: &[f64],
+    limits: RankLimits,
+    room: &[usize],
+) -> Placement {
     let total: f64 = demand.iter().sum();
-    if total <= 0.0 || paces.len() != before.ranks.len() {
+    let ranks = before.ranks.len();
+    if total <= 0.0 || paces.len() != ranks || room.len() != ranks {
         return before.clone();
     }
     let mean = total / before.ranks.len() as f64;
@@ -130,6 +144,7 @@
         demand,
         paces,
         limits,
+        room,
         mean,
         placement: before.clone(),
         holders: holder_lists(before, demand.len()),
@@ -172,6 +187,8 @@
     demand: &'a [f64],
     paces: &'a [f64],
     limits: RankLimits,
+    /// Number of experts that each rank may receive.
+    room: &'a [usize],
     /// Time of each rank if all were healthy and evenly loaded.
     mean: f64,
     placement: Placement,
@@ -294,7 +311,8 @@
         let before = &self.before.ranks[rank];
         let kept = self.placement.ranks[rank].iter().filter(|held| Some(**held) != replaced);
         let received = kept.filter(|held| !before.contains(held)).count();
-        received + usize::from(!before.contains(&expert)) <= self.limits.max_received
+        let limit = self.limits.max_received.min(self.room[rank]);
+        received + usize::from(!before.contains(&expert)) <= limit
     }
 
     /// Returns the ranks whose times a change affects, with their new times.
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -16,6 +16,8 @@
 use bw_direct::endpoint::EndpointRecord;
 use bw_direct::endpoint::EndpointState;
 use bw_direct::endpoint::Table;
+use bw_direct::evacuation::should_evacuate;
+use bw_direct::evacuation::PACE_LIMIT;
 use bw_direct::health::Counts;
 use bw_direct::health::Health;
 use bw_direct::health::HealthState;
@@ -35,6 +37,8 @@
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
+use crate::placement::PlacementRequest;
+
 /// Upper bound on the idle connections kept to one endpoint.
 const IDLE_MAX: usize = 4;
 /// Idle timeout assumed for an endpoint that does not announce one.
@@ -273,17 +277,11 @@
 
     /// Selects an endpoint of a service with a free slot and counts the request there; `None` if
     /// no slot is free.
-    pub fn place(
-        &self,
-        service: &str,
-        exclude: &[EndpointKey],
-        prompt: u32,
-        now: Duration,
-    ) -> Option<ChosenEndpoint> {
+    pub fn place(&self, request: &PlacementRequest, now: Duration) -> Option<ChosenEndpoint> {
         let mut state = self.lock();
-        let candidates = state.candidates(service, exclude, &self.centre, now);
+        let candidates = state.candidates(request, &self.centre, now);
         let (best, slot_kind) = place(&candidates, &mut state.random)?;
-        state.loads.start(best.key, prompt);
+        state.loads.start(best.key, request.prompt);
         let news_age = state.loads.oldest_news(now);
         let endpoint = &state.table.get(best.key)?.endpoint;
         Some(ChosenEndpoint {
@@ -297,6 +295,28 @@
         })
     }
 
+    /// Returns whether streams at an endpoint should move to other endpoints of its group.
+    pub fn should_evacuate(&self, key: EndpointKey, now: Duration) -> bool {
+        let state = self.lock();
+        let pace = state.pace(key, now);
+        if pace < PACE_LIMIT {
+            return false;
+        }
+        let Some(record) = state.table.get(key) else { return false };
+        let Some(member) = &record.endpoint.member else { return false };
+        let (at, peer_paces) = &state.peer_paces;
+        let current = now.saturating_sub(*at) <= PACE_AGE_MAX;
+        let slow = if state.local_paces.is_empty() && current {
+            peer_paces.as_slice()
+        } else {
+            state.local_paces.as_slice()
+        };
+        let in_group = |key: &EndpointKey| state.group_of(*key) == Some(member.group.as_str());
+        let paces: Vec<f64> =
+            slow.iter().filter(|(key, _)| in_group(key)).map(|(_, pace)| *pace).collect();
+        should_evacuate(pace, &paces, usize::from(member.size))
+    }
+
     /// Returns whether a service has endpoints that are not excluded, whether or not their groups
     /// accept requests.
     pub fn serves(&self, service: &str, exclude: &[EndpointKey], now: Duration) -> bool {
@@ -483,19 +503,18 @@
     /// is ignored if it would leave fewer than half of them.
     fn candidates(
         &self,
-        service: &str,
-        exclude: &[EndpointKey],
+        request: &PlacementRequest,
         centre: &str,
         now: Duration,
     ) -> Vec<Candidate> {
-        let mut keys: Vec<EndpointKey> = self.table.accepting(service, now).collect();
+        let mut keys: Vec<EndpointKey> = self.table.accepting(&request.service, now).collect();
         // All gateways assign home slots in the same order of endpoints.
         keys.sort_by_key(|key| self.extras[key.index()].name_hash);
         let slots: Vec<u32> = keys.iter().map(|key| self.slots(*key)).collect();
         let home_slots = assign_home_slots(&slots, self.position.0, self.position.1);
         let works = self.loads.total(&keys, now);
         let all = keys.iter().zip(slots).zip(home_slots).zip(works);
-        let candidates = all.filter(|(((key, _), _), _)| !exclude.contains(key));
+        let candidates = all.filter(|(((key, _), _), _)| !request.exclude.contains(key));
         let candidates: Vec<Candidate> = candidates
             .map(|(((key, slots), home_slots), work)| Candidate {
                 key: *key,
@@ -516,6 +535,11 @@
         }
     }
 
+    fn group_of(&self, key: EndpointKey) -> Option<&str> {
+        let member = self.table.get(key)?.endpoint.member.as_ref()?;
+        Some(&member.group)
+    }
+
     fn may_receive_work(&self, candidate: &Candidate, now: Duration) -> bool {
         match self.health.state(candidate.key, now) {
             HealthState::Healthy => true,
--- a/crates/bw-gateway/src/forward/job.rs
+++ b/crates/bw-gateway/src/forward/job.rs
@@ -18,8 +18,8 @@
 use smallvec::SmallVec;
 use tokio::sync::OwnedSemaphorePermit;
 
+use crate::placement::PlacementRequest;
 use crate::waiting::PlacedRequest;
-use crate::waiting::PlacementRequest;
 
 /// Workspace priority of requests without a workspace.
 const PRIORITY_PUBLIC: u8 = 5;
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -19,6 +19,7 @@
 use super::Forwarder;
 use crate::reply::event_stream;
 use crate::reply::EventSender;
+use crate::waiting::PlacedRequest;
 
 /// Capacity of the channel to the caller's connection, in batches of one or more events.
 const CHANNEL_CAPACITY: usize = 8;
@@ -46,6 +47,8 @@
     Complete,
     /// The endpoint's answer ended early, for the given reason.
     Broken(String),
+    /// The endpoint delays its group, and a place at another one is free.
+    Moving(Box<PlacedRequest>),
     /// The caller has disconnected.
     CallerLeft,
     /// The request's deadline has passed.
@@ -86,11 +89,18 @@
                 }
                 PartEnd::CallerLeft => break "caller_left",
                 PartEnd::Expired => break "expired",
+                PartEnd::Moving(placed) => {
+                    self.job.append_trace("moved");
+                    match self.resume(Some(*placed)).await {
+                        Some(next) => part = next,
+                        None => break "broken",
+                    }
+                }
                 PartEnd::Broken(reason) => {
                     self.forwarder.endpoints.record_failure(chosen.key, self.forwarder.clock.now());
                     self.forwarder.suspects.record_broken(&chosen, self.job.fingerprint);
                     self.job.append_trace(&format!("broken:{reason}"));
-                    match self.resume().await {
+                    match self.resume(None).await {
                         Some(next) => part = next,
                         None => break "broken",
                     }
@@ -142,6 +152,9 @@
                         if let Err(end) = self.send_events(events).await {
                             return end;
                         }
+                        if let Some(placed) = self.place_elsewhere(opened.placed.chosen.key) {
+                            return PartEnd::Moving(Box::new(placed));
+                        }
                     }
                     if buffer.is_oversized() {
                         return PartEnd::Broken("event too large".to_string());
@@ -186,9 +199,21 @@
         }
     }
 
-    /// Resumes the stream at another endpoint, after the last event that was forwarded. Returns
-    /// `None` if the stream cannot be resumed or the caller has disconnected.
-    async fn resume(&mut self) -> Option<StartedStream> {
+    /// Returns a place at another endpoint if the one that sends the stream should be evacuated and
+    /// the stream may be sent once more.
+    fn place_elsewhere(&self, key: EndpointKey) -> Option<PlacedRequest> {
+        let now = self.forwarder.clock.now();
+        let movable = self.job.route().resumable && self.job.attempts.may_run_again();
+        if !movable || !self.forwarder.endpoints.should_evacuate(key, now) {
+            return None;
+        }
+        self.forwarder.waiting.place_now(&self.job.placement_request(now))
+    }
+
+    /// Resumes the stream at another endpoint, after the last event that was forwarded; at `placed`
+    /// first, if it is given. Returns `None` if the stream cannot be resumed or the caller has
+    /// disconnected.
+    async fn resume(&mut self, mut placed: Option<PlacedRequest>) -> Option<StartedStream> {
         if !self.job.route().resumable {
             return None;
         }
@@ -198,9 +223,12 @@
                 return None;
             }
             let request = self.job.placement_request(self.forwarded_at);
-            let placed = tokio::select! {
-                placed = self.forwarder.waiting.place(request) => placed.ok()?,
-                () = self.sender.closed() => return None,
+            let placed = match placed.take() {
+                Some(placed) => placed,
+                None => tokio::select! {
+                    placed = self.forwarder.waiting.place(request) => placed.ok()?,
+                    () = self.sender.closed() => return None,
+                },
             };
             let forwarder = self.forwarder.clone();
             let result = tokio::select! {
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod metrics;
 pub mod mirror;
 pub mod peers;
+pub mod placement;
 pub mod planner;
 pub mod relay;
 pub mod reload;
--- /dev/null
+++ b/crates/bw-gateway/src/placement.rs
@@ -0,0 +1,25 @@
+//! What a request asks of the queue and of the endpoint that it is placed at.
+
+use std::time::Duration;
+
+use bw_direct::endpoint::EndpointKey;
+use smallvec::SmallVec;
+
+/// Properties of a request that decide its place in the queue and its endpoint.
+#[derive(Clone, Debug)]
+pub struct PlacementRequest {
+    /// Service that the request is for.
+    pub service: String,
+    /// Hash of the name of the caller's workspace.
+    pub workspace: u64,
+    /// Service order; a lower number is served first.
+    pub order: u8,
+    /// Time by which the answer should start.
+    pub target: Duration,
+    /// Latest time at which starting the request is still useful.
+    pub deadline: Duration,
+    /// Number of tokens in the prompt.
+    pub prompt: u32,
+    /// Endpoints that the request must not be placed at.
+    pub exclude: SmallVec<[EndpointKey; 4]>,
+}
--- a/crates/bw-gateway/src/planner/calls.rs
+++ b/crates/bw-gateway/src/planner/calls.rs
@@ -22,8 +22,8 @@
 pub enum Event {
     /// The outcome of a command.
     Answered(String, RankCommand, CommandOutcome),
-    /// The report of a rank; `None` if the read failed.
-    Reported(String, u16, Option<engines::RankReport>),
+    /// The report of a rank, `None` if the read failed, and the time of the request.
+    Reported(String, u16, Option<engines::RankReport>, Duration),
     /// The counts of a rank; `None` if the read failed.
     Counted(String, u16, Option<engines::ExpertCounts>),
     /// The experts that a rank holds; `None` if the read failed.
@@ -36,9 +36,15 @@
 pub type Call = futures::future::BoxFuture<'static, Event>;
 
 /// Reads a rank's report.
-pub async fn read_report(client: Client, group: String, rank: u16, address: SocketAddr) -> Event {
+pub async fn read_report(
+    client: Client,
+    group: String,
+    rank: u16,
+    address: SocketAddr,
+    asked_at: Duration,
+) -> Event {
     let report = read(&client, address, engines::REPORT_PATH, engines::decode_report).await;
-    Event::Reported(group, rank, report)
+    Event::Reported(group, rank, report, asked_at)
 }
 
 /// Reads a rank's counts.
--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -16,6 +16,7 @@
 use super::calls::Event;
 use super::group::Group;
 use super::group::Sampling;
+use super::group::SLOW_PACE;
 use super::PlanService;
 
 /// Interval between two reads of counts.
@@ -34,14 +35,15 @@
 const SHIFT_RANKS_DIVISOR: usize = 18;
 /// Maximum number of ranks whose counts are read after a shift of demand.
 const SHIFT_RANKS_MAX: usize = 6;
-/// Interval between two reads of the reports of all ranks.
-const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Time after a read of counts or the start of a switch during which longer steps are not taken
 /// for a shift of demand.
 const JUMP_HOLDOFF: Duration = Duration::from_millis(350);
 /// Load that each copied expert has to take from the busiest rank of its set, as a fraction of the
 /// mean load.
 const COPY_PRICE: f64 = 0.015;
+/// Largest number of experts that a rank receives in one switch. Ranks copy one after another, and
+/// steps are longer until the last copy ends.
+const RECEIVED_MAX: usize = 1;
 /// Minimum time between the starts of two switches.
 const SWITCH_INTERVAL_MIN: Duration = Duration::from_millis(300);
 
@@ -70,10 +72,8 @@
         if group.driver.phase() != Phase::Idle || group.planning {
             return;
         }
-        let reports_due = now.saturating_sub(group.reports_at) >= REPORT_INTERVAL;
-        if reports_due && group.can_request_reports(now) {
-            group.reports_at = now;
-            group.request_reports(client, calls);
+        if group.replan {
+            calls.extend(self.start_plan(group, now));
         }
         if group.pending_counts == 0 && self.is_sample_due(group, now) {
             group.sampled_at = now;
@@ -110,7 +110,8 @@
 
     /// Returns the computation of a plan if a switch may start now.
     fn start_plan(&self, group: &mut Group, now: Duration) -> Option<Call> {
-        let in_force = group.last_step.0 >= group.switch_step;
+        // The counts of a rank may show a step that is still held.
+        let in_force = group.last_step.0 > group.switch_step;
         if !in_force
             || now.saturating_sub(group.switched_at) < SWITCH_INTERVAL_MIN
             || group.planning
@@ -124,6 +125,7 @@
             copy_price: COPY_PRICE,
         };
         group.planning = true;
+        group.replan = false;
         let (name, paces) = (group.view.name.clone(), group.paces.clone());
         Some(Box::pin(compute_plan(name, map, demand, paces, limits)))
     }
@@ -153,6 +155,7 @@
             group.last_step.0,
             step.unwrap_or_default().as_millis()
         );
+        group.replan |= plan.partial;
         group.next_map = Some(plan.next);
         group.switched_at = now;
     }
@@ -178,6 +181,8 @@
     pub next: Vec<Placement>,
     pub skew_before: f64,
     pub skew_after: f64,
+    /// Whether a rank receives as much as one switch allows, so that another one may gain more.
+    pub partial: bool,
 }
 
 impl MapPlan {
@@ -197,28 +202,40 @@
     limits: RankLimits,
 ) -> Event {
     let sets = before.len().max(1) as f64;
-    let (mut skew_before, mut skew_after) = (0.0, 0.0);
-    let mut next = Vec::with_capacity(before.len());
-    for (set, demand) in before.iter().zip(&demand) {
-        let placement = improve(set, demand, &paces, limits);
-        skew_before += set.skew(demand, &paces) / sets;
-        skew_after += placement.skew(demand, &paces) / sets;
-        next.push(placement);
+    let skews: Vec<f64> =
+        before.iter().zip(&demand).map(|(set, demand)| set.skew(demand, &paces)).collect();
+    // The sets that lengthen steps the most have the first choice of what ranks may receive.
+    let mut order: Vec<usize> = (0..before.len()).collect();
+    order.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
+    let mut next = before.clone();
+    // A slow rank stays the slowest until nearly all of its experts have moved, so parts of that
+    // change gain nothing.
+    let has_slow_rank = paces.iter().any(|pace| *pace >= SLOW_PACE);
+    let received_max = if has_slow_rank { usize::MAX } else { RECEIVED_MAX };
+    let mut room = vec![received_max; paces.len()];
+    for index in order {
+        next[index] = improve(&before[index], &demand[index], &paces, limits, &room);
+        for (rank, room) in room.iter_mut().enumerate() {
+            *room = room.saturating_sub(next[index].received_by(rank, &before[index]));
+        }
         tokio::task::yield_now().await;
     }
-    Event::Planned(group, MapPlan { before, next, skew_before, skew_after })
+    let after = next.iter().zip(&demand).map(|(set, demand)| set.skew(demand, &paces));
+    let plan = MapPlan {
+        skew_before: skews.iter().sum::<f64>() / sets,
+        skew_after: after.sum::<f64>() / sets,
+        partial: room.contains(&0),
+        before,
+        next,
+    };
+    Event::Planned(group, plan)
 }
 
 /// Returns the largest number of experts, over all sets, that any rank has to receive.
 fn most_received(next: &[Placement], before: &[Placement]) -> usize {
     let ranks = next.first().map_or(0, |set| set.ranks.len());
     let received = |rank: usize| -> usize {
-        let sets = next.iter().zip(before);
-        let new = sets.map(|(next, set)| {
-            let held = &set.ranks[rank];
-            next.ranks[rank].iter().filter(|expert| !held.contains(expert)).count()
-        });
-        new.sum()
+        next.iter().zip(before).map(|(next, set)| next.received_by(rank, set)).sum()
     };
     (0..ranks).map(received).max().unwrap_or(0)
 }
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -22,8 +22,13 @@
 use super::calls::Call;
 use crate::endpoints::GroupView;
 
+/// Interval between two reads of the reports of all ranks.
+const REPORT_INTERVAL: Duration = Duration::from_millis(1_500);
+/// The same interval while steps are longer than before: either demand has shifted, or a rank has
+/// become slow.
+const REPORT_INTERVAL_JUMP: Duration = Duration::from_millis(250);
 /// Minimum pace at which a rank counts as slow.
-const SLOW_PACE: f64 = 1.15;
+pub const SLOW_PACE: f64 = 1.15;
 /// Shortest and longest length that a step is assumed to have.
 const STEP_LENGTH_RANGE: (Duration, Duration) =
     (Duration::from_millis(10), Duration::from_millis(1_000));
@@ -74,8 +79,13 @@
     pub sampler: Sampler,
     /// Pace of each rank: the factor by which the rank is slower than it should be.
     pub paces: Vec<f64>,
-    /// Time of the last request for reports in the idle phase.
+    /// Time of the last request for reports.
     pub reports_at: Duration,
+    /// Time from which requested reports show the result of the previous phase.
+    pub fresh_after: Duration,
+    /// Whether a plan is due without new counts: a rank has become slow, or is no longer, or the last
+    /// switch was only a part of the change.
+    pub replan: bool,
     /// Shortest target pause among the routes of the service; zero if no route has one.
     pub max_pause: Duration,
     /// Purpose of the next counts.
@@ -90,7 +100,7 @@
     pub pending_reads: usize,
     /// Number of pending requests for counts.
     pub pending_counts: usize,
-    /// Start of the current phase; in the reading phase, time of the last request for reports.
+    /// Start of the current phase.
     pub phase_since: Duration,
     /// Phase of the driver that this group has last entered.
     pub phase: Phase,
@@ -125,6 +135,8 @@
             sampler: Sampler::new(shape.sets, shape.experts),
             shape,
             report_lag: engine.report_lag,
+            fresh_after: now + engine.report_lag,
+            replan: false,
             paces: vec![1.0; view.ranks.len()],
             reports_at: now,
             max_pause: Duration::ZERO,
@@ -167,6 +179,7 @@
             self.switch_step
         );
         self.phase_since = now;
+        self.fresh_after = now + self.report_lag;
         match (before, self.phase) {
             (Phase::Releasing, Phase::Idle) => {
                 if let Some(next) = self.next_map.take() {
@@ -207,19 +220,36 @@
     }
 
     /// Requests the reports of all ranks.
-    pub fn request_reports(&mut self, client: &Client, calls: &mut Vec<Call>) {
+    pub fn request_reports(&mut self, client: &Client, now: Duration, calls: &mut Vec<Call>) {
+        self.reports_at = now;
         for (rank, address) in self.view.addresses() {
             self.pending_reads += 1;
             let name = self.view.name.clone();
-            calls.push(Box::pin(read_report(client.clone(), name, rank, address)));
+            calls.push(Box::pin(read_report(client.clone(), name, rank, address, now)));
         }
     }
 
-    /// Returns whether reports requested now would come from all ranks and show the result of the
-    /// previous phase.
-    pub fn can_request_reports(&self, now: Duration) -> bool {
-        let aged = now.saturating_sub(self.phase_since) >= self.report_lag;
-        self.pending_reads == 0 && aged && self.view.is_open()
+    /// Returns whether to request reports now. `jumped` tells whether steps have become longer.
+    pub fn are_reports_due(&self, jumped: bool, now: Duration) -> bool {
+        if self.pending_reads > 0 || !self.view.is_open() {
+            return false;
+        }
+        let age = now.saturating_sub(self.reports_at);
+        match self.phase {
+            Phase::Reading | Phase::Settling => {
+                now >= self.fresh_after && age >= self.report_lag.min(REPORT_INTERVAL_JUMP)
+            }
+            _ if jumped => age >= REPORT_INTERVAL_JUMP,
+            _ => age >= REPORT_INTERVAL,
+        }
+    }
+
+    /// Records the pace that a rank reports.
+    pub fn record_pace(&mut self, rank: u16, pace: f64) {
+        let Some(known) = self.paces.get_mut(usize::from(rank)) else { return };
+        let pace = pace.max(1.0);
+        self.replan |= (*known >= SLOW_PACE) != (pace >= SLOW_PACE);
+        *known = pace;
     }
 
     /// Records that a step had started at a time; data older than the last known step is ignored.
@@ -234,10 +264,12 @@
         }
     }
 
-    /// Returns the step that is expected to be in progress at `now`.
-    pub fn expected_step(&self, now: Duration) -> u64 {
+    /// Returns the step that is expected to be in progress at `now`; `observed` is the length of
+    /// steps as the streams show it.
+    pub fn expected_step(&self, observed: Option<Duration>, now: Duration) -> u64 {
         let (step, at) = self.last_step;
-        let passed = now.saturating_sub(at).as_secs_f64() / self.step_length.as_secs_f64();
+        let length = observed.map_or(self.step_length, |observed| observed.min(self.step_length));
+        let passed = now.saturating_sub(at).as_secs_f64() / length.as_secs_f64().max(1e-3);
         step + (passed as u64).min(STEPS_AHEAD_MAX)
     }
 
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -213,16 +213,16 @@
                 }
                 group.driver.handle_outcome(&command, outcome);
             }
-            Event::Reported(name, rank, report) => {
+            Event::Reported(name, rank, report, asked_at) => {
                 let Some(group) = groups.get_mut(&name) else { return };
                 group.pending_reads = group.pending_reads.saturating_sub(1);
                 if let Some(report) = report {
                     let state = report.state;
                     group.record_step(state.step, now.saturating_sub(group.report_lag));
-                    group.driver.handle_report(rank, state);
-                    if let Some(pace) = group.paces.get_mut(usize::from(rank)) {
-                        *pace = report.pace.max(1.0);
+                    if asked_at >= group.fresh_after {
+                        group.driver.handle_report(rank, state);
                     }
+                    group.record_pace(rank, report.pace);
                     // Version 0 is the map that engines use before the first switch.
                     if group.driver.phase() != Phase::Reading && state.map == MapVersion(0) {
                         group.map = Some(group.initial_map());
@@ -285,15 +285,16 @@
             self.peers.resign_duty(now);
             return calls;
         }
+        let jumped = self.endpoints.has_step_jumped(&group.view.name, now);
+        if group.are_reports_due(jumped, now) {
+            group.request_reports(client, now, &mut calls);
+        }
         match group.phase {
-            Phase::Reading | Phase::Settling if group.can_request_reports(now) => {
-                group.phase_since = now;
-                group.request_reports(client, &mut calls);
-            }
             Phase::Idle => self.plan(group, client, now, &mut calls),
             Phase::Preparing => {
                 if group.driver.is_prepared() {
-                    let step = group.expected_step(now) + STEP_MARGIN;
+                    let observed = self.endpoints.step_length(&group.view.name, now);
+                    let step = group.expected_step(observed, now) + STEP_MARGIN;
                     group.switch_step = step;
                     group.driver.hold(step);
                 } else if now >= group.copy_poll {
--- a/crates/bw-gateway/src/waiting.rs
+++ b/crates/bw-gateway/src/waiting.rs
@@ -7,19 +7,18 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use bw_direct::endpoint::EndpointKey;
 use bw_kernel::BootClock;
 use bw_route::admission::OfferOutcome;
 use bw_route::admission::Ticket;
 use bw_route::Admission;
 use bw_route::Offer;
 use rand::Rng;
-use smallvec::SmallVec;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::endpoints::ChosenEndpoint;
 use crate::endpoints::Endpoints;
+use crate::placement::PlacementRequest;
 
 /// Lower bound on the retry-after time of a rejected request, before jitter.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(200);
@@ -30,25 +29,6 @@
 /// the last 20 answers.
 const ANSWER_WEIGHT: f64 = 0.05;
 
-/// Properties of a request that decide its place in the queue and its endpoint.
-#[derive(Clone, Debug)]
-pub struct PlacementRequest {
-    /// Service that the request is for.
-    pub service: String,
-    /// Hash of the name of the caller's workspace.
-    pub workspace: u64,
-    /// Service order; a lower number is served first.
-    pub order: u8,
-    /// Time by which the answer should start.
-    pub target: Duration,
-    /// Latest time at which starting the request is still useful.
-    pub deadline: Duration,
-    /// Number of tokens in the prompt.
-    pub prompt: u32,
-    /// Endpoints that the request must not be placed at.
-    pub exclude: SmallVec<[EndpointKey; 4]>,
-}
-
 /// Rejection of a request that would get no endpoint in time, with the retry-after time of its
 /// caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -231,10 +211,17 @@
         self.lock().queues.get(service).is_none_or(|queue| queue.waiters.is_empty())
     }
 
+    /// Places a request if a slot is free now and no other request waits for it.
+    pub fn place_now(&self, request: &PlacementRequest) -> Option<PlacedRequest> {
+        if !self.is_queue_empty(&request.service) {
+            return None;
+        }
+        self.try_place(request)
+    }
+
     fn try_place(&self, request: &PlacementRequest) -> Option<PlacedRequest> {
         let now = self.clock.now();
-        let chosen =
-            self.endpoints.place(&request.service, &request.exclude, request.prompt, now)?;
+        let chosen = self.endpoints.place(request, now)?;
         Some(PlacedRequest {
             chosen,
             waited: Duration::ZERO,
