Hand the planning duty over while its holder leaves, and sooner when it falls silent

Change: news of a holder that leaves or has given the duty up make it vacant at once; the old holder goes on until it is replaced. Silence counts from five rounds of news, 0.5 to 0.9 s.

Tests: standby.rs."

--- a/crates/bw-duty/src/standby.rs
+++ b/crates/bw-duty/src/standby.rs
@@ -1,16 +1,25 @@
 //! Decides when a process should try to take over a duty whose holder is silent.
 //!
-//! The decision is only about when to try. A conditional write grants the duty, and the fencing
-//! number that comes with the grant makes the orders of a former holder fail.
+//! Load pattern: the holder is killed, suspended or cut off, or instances restart one after another, while
+//! what the duty is for cannot wait, such as maps that no longer fit demand.
+//!
+//! The decision is only about when to try. A conditional write grants the duty, and the work that the
+//! duty permits must be safe beside a former holder that goes on.
 
 use std::time::Duration;
 
 use bw_model::Fence;
 
-/// Silence of the holder after which the first process in the order of candidates tries.
-const SILENCE_MAX: Duration = Duration::from_millis(900);
-/// Additional silence required for each further position in the order.
-const POSITION_STEP: Duration = Duration::from_millis(400);
+/// Silence of the holder, in rounds of news, after which the first process in the order of candidates
+/// tries.
+const SILENCE_ROUNDS: u32 = 5;
+/// Bounds of that silence.
+const SILENCE_RANGE: (Duration, Duration) =
+    (Duration::from_millis(500), Duration::from_millis(900));
+/// Additional time for each further position in the order.
+const POSITION_STEP: Duration = Duration::from_millis(300);
+/// Time between a failed try and the next one.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
 /// Time for which a process does not try after it was replaced or had to resign.
 const COOLDOWN: Duration = Duration::from_secs(4);
 
@@ -19,6 +28,10 @@
 pub struct Standby {
     /// Start of the current silence of the holder.
     silent_since: Duration,
+    /// Instance of the last known holder.
+    holder: Option<String>,
+    /// Time since which the holder is known to leave or to have given the duty up.
+    vacant_since: Option<Duration>,
     /// The highest fencing number received or acquired.
     known: Fence,
     held: Option<Fence>,
@@ -29,40 +42,71 @@
 impl Standby {
     /// Creates a process that has received nothing from a holder; the silence starts at `now`.
     pub fn new(now: Duration) -> Self {
-        Self { silent_since: now, known: Fence(0), held: None, retry_at: Duration::ZERO }
+        Self {
+            silent_since: now,
+            holder: None,
+            vacant_since: None,
+            known: Fence(0),
+            held: None,
+            retry_at: Duration::ZERO,
+        }
     }
 
-    /// Records that another process announces that it holds the duty with `fence`.
+    /// Records news of another process: the fencing number with which it holds the duty, if it does,
+    /// and whether it is leaving.
     ///
     /// Announcements with a lower number than the highest known are ignored.
-    pub fn observe_holder(&mut self, fence: Fence, now: Duration) {
-        if fence < self.known {
-            return;
-        }
-        self.known = fence;
-        self.silent_since = now;
-        if self.held.is_some_and(|held| held < fence) {
-            self.held = None;
+    pub fn observe(&mut self, instance: &str, duty: Option<Fence>, leaving: bool, now: Duration) {
+        let was_holder = self.holder.as_deref() == Some(instance);
+        match duty {
+            Some(fence) if fence >= self.known => {
+                if fence > self.known || !was_holder {
+                    self.vacant_since = None;
+                }
+                self.known = fence;
+                self.holder = Some(instance.to_string());
+                self.silent_since = now;
+                if self.held.is_some_and(|held| held < fence) {
+                    self.held = None;
+                }
+                if leaving {
+                    self.vacant_since.get_or_insert(now);
+                }
+            }
+            None if was_holder => {
+                self.vacant_since.get_or_insert(now);
+            }
+            _ => {}
         }
     }
 
-    /// Returns whether to try now, with `position` other processes ahead of this one in the order.
-    pub fn should_try(&self, position: usize, now: Duration) -> bool {
-        let silence = SILENCE_MAX + POSITION_STEP * position as u32;
-        self.held.is_none()
-            && now >= self.retry_at
-            && now.saturating_sub(self.silent_since) >= silence
+    /// Returns whether to try now, with `position` other processes ahead of this one in the order, when
+    /// processes send news every `round`.
+    pub fn should_try(&self, position: usize, round: Duration, now: Duration) -> bool {
+        let (least, most) = SILENCE_RANGE;
+        let silence = (round * SILENCE_ROUNDS).clamp(least, most);
+        let since = self.vacant_since.map(|at| now.saturating_sub(at));
+        let waited = since
+            .unwrap_or_default()
+            .max(now.saturating_sub(self.silent_since).saturating_sub(silence));
+        let delay = POSITION_STEP * position as u32;
+        let vacant = since.is_some() || now.saturating_sub(self.silent_since) >= silence;
+        self.held.is_none() && now >= self.retry_at && vacant && waited >= delay
     }
 
     /// Records that this process acquired the duty with this fencing number.
     pub fn acquire(&mut self, fence: Fence) {
         self.known = self.known.max(fence);
         self.held = Some(fence);
+        self.holder = None;
+        self.vacant_since = None;
     }
 
     /// Records that a try failed because another process was first.
     pub fn record_failure(&mut self, now: Duration) {
         self.silent_since = now;
+        self.vacant_since = None;
+        self.retry_at = now + RETRY_PAUSE;
     }
 
     /// Gives up the duty, for example when orders fail because of a higher fencing number.
--- /dev/null
+++ b/crates/bw-duty/tests/standby.rs
@@ -0,0 +1,89 @@
+//! Replays of holders of a duty that leave, fall silent or come back.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+use std::time::Duration;
+
+use bw_duty::Standby;
+use bw_model::Fence;
+
+/// Interval between two rounds of news.
+const ROUND: Duration = Duration::from_millis(100);
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+/// Returns a process that has just received news from the holder with fencing number 7.
+fn with_holder() -> Standby {
+    let mut standby = Standby::new(ms(0));
+    standby.observe("a", Some(Fence(7)), false, ms(1_000));
+    standby
+}
+
+/// Instances restart one after another. The duty moves while its holder still serves its last requests,
+/// so nobody is without it.
+#[test]
+fn the_first_in_order_takes_over_at_once_from_a_holder_that_leaves() {
+    let mut standby = with_holder();
+    assert!(!standby.should_try(0, ROUND, ms(1_010)));
+    standby.observe("a", Some(Fence(7)), true, ms(1_100));
+    assert!(standby.should_try(0, ROUND, ms(1_110)));
+    assert!(!standby.should_try(1, ROUND, ms(1_110)));
+    // News that repeats the announcement does not extend the wait of the second in order.
+    standby.observe("a", Some(Fence(7)), true, ms(1_200));
+    standby.observe("a", Some(Fence(7)), true, ms(1_300));
+    assert!(standby.should_try(1, ROUND, ms(1_410)));
+}
+
+#[test]
+fn a_holder_that_gave_the_duty_up_is_not_waited_for() {
+    let mut standby = with_holder();
+    standby.observe("b", None, false, ms(1_050));
+    assert!(!standby.should_try(0, ROUND, ms(1_060)));
+    standby.observe("a", None, false, ms(1_100));
+    assert!(standby.should_try(0, ROUND, ms(1_110)));
+}
+
+#[test]
+fn a_silent_holder_is_replaced_after_several_rounds_without_news() {
+    let standby = with_holder();
+    assert!(!standby.should_try(0, ROUND, ms(1_400)));
+    assert!(standby.should_try(0, ROUND, ms(1_500)));
+    assert!(!standby.should_try(1, ROUND, ms(1_500)));
+    assert!(standby.should_try(1, ROUND, ms(1_800)));
+    // Where news comes seldom, a holder is silent later.
+    assert!(!standby.should_try(0, ms(250), ms(1_600)));
+    assert!(standby.should_try(0, ms(250), ms(1_900)));
+}
+
+#[test]
+fn a_new_holder_ends_the_vacancy() {
+    let mut standby = with_holder();
+    standby.observe("a", Some(Fence(7)), true, ms(1_100));
+    standby.observe("b", Some(Fence(8)), false, ms(1_200));
+    assert!(!standby.should_try(0, ROUND, ms(1_300)));
+    // The former holder does not know yet that it was replaced.
+    standby.observe("a", Some(Fence(7)), true, ms(1_300));
+    assert!(!standby.should_try(0, ROUND, ms(1_310)));
+}
+
+#[test]
+fn a_holder_learns_that_it_was_replaced() {
+    let mut standby = with_holder();
+    standby.acquire(Fence(8));
+    standby.observe("a", Some(Fence(7)), false, ms(2_000));
+    assert_eq!(standby.held(), Some(Fence(8)));
+    standby.observe("b", Some(Fence(9)), false, ms(2_100));
+    assert_eq!(standby.held(), None);
+}
+
+#[test]
+fn a_failed_try_is_followed_by_a_pause() {
+    let mut standby = with_holder();
+    standby.observe("a", Some(Fence(7)), true, ms(1_100));
+    standby.record_failure(ms(1_150));
+    standby.observe("a", Some(Fence(7)), true, ms(1_200));
+    assert!(!standby.should_try(0, ROUND, ms(1_300)));
+    assert!(standby.should_try(0, ROUND, ms(1_600)));
+}
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -160,7 +160,8 @@
         let state = self.lock();
         let own = &self.address.instance;
         let position = state.peers.live(now).filter(|peer| peer.instance < *own).count();
-        state.ready && !state.own.leaving && state.duty.should_try(position, now)
+        let round = news_interval(state.peers.live_count(now));
+        state.ready && !state.own.leaving && state.duty.should_try(position, round, now)
     }
 
     /// Records that this gateway has acquired the planning duty, and announces it to the peers.
@@ -256,6 +257,11 @@
     }
 }
 
+/// Returns the time between two rounds of news of each of `gateways` gateways.
+fn news_interval(gateways: usize) -> Duration {
+    (INTERVAL_PER_GATEWAY * gateways as u32).clamp(ROUND_INTERVAL.0, ROUND_INTERVAL.1)
+}
+
 /// Service that sends news to the peers and applies the news received from them.
 pub struct Gossip {
     /// State of this gateway and of its peers.
@@ -288,10 +294,7 @@
                 () = tokio::time::sleep_until(next) => {
                     self.send_news(&socket, rounds).await;
                     rounds += 1;
-                    let gateway_count = self.peers.live_count(self.clock.now()) as u32;
-                    next = Instant::now()
-                        + (INTERVAL_PER_GATEWAY * gateway_count)
-                            .clamp(ROUND_INTERVAL.0, ROUND_INTERVAL.1);
+                    next = Instant::now() + news_interval(self.peers.live_count(self.clock.now()));
                 }
                 () = self.peers.urgent.notified() => self.send_news(&socket, rounds).await,
                 received = socket.recv_from(&mut buffer) => match received {
@@ -418,8 +421,9 @@
         }
         self.peers.lock().stamps.insert(news.address.news, news.stamp);
         self.apply_proof(&news, echo);
-        if let Some(fence) = news.duty {
-            self.peers.lock().duty.observe_holder(fence, now);
+        let PeerState { instance, leaving, .. } = &news.state;
+        self.peers.lock().duty.observe(instance, news.duty, *leaving, now);
+        if news.duty.is_some() {
             self.endpoints.receive_paces(&news.paces, now);
         }
         self.suspects.receive(&news.suspects);
