--- a/crates/bw-expert/src/drive/mod.rs
+++ b/crates/bw-expert/src/drive/mod.rs
@@ -21,6 +21,7 @@
 
 pub mod command;
 pub mod driver;
+pub mod patience;
 pub mod tenure;
 
 pub use command::Command;
@@ -29,6 +30,7 @@
 pub use command::RankState;
 pub use driver::Driver;
 pub use driver::Phase;
+pub use patience::Patience;
 pub use tenure::Owner;
 pub use tenure::Tenure;
 pub use tenure::RANKS_MIN;
--- /dev/null
+++ b/crates/bw-expert/src/drive/patience.rs
@@ -0,0 +1,45 @@
+//! Decides how long to wait for the answer to a command before it is sent again.
+//!
+//! Load pattern: ranks leave a part of the commands unanswered while a step is held, and the whole group
+//! stands still until the last rank has confirmed. Commands may be repeated at any time, so the wait
+//! follows the time that answers take, as in the retransmission timer of TCP.
+
+use std::time::Duration;
+
+/// Weight of a new time in the smoothed time.
+const TIME_WEIGHT: f64 = 0.125;
+/// Weight of a new deviation in the smoothed deviation.
+const DEVIATION_WEIGHT: f64 = 0.25;
+/// Number of deviations added to the smoothed time.
+const DEVIATIONS: f64 = 4.0;
+/// Bounds of the wait. Below the lower one, commands would be repeated while the process waits for
+/// its processor.
+const WAIT_RANGE: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(150));
+
+/// Times that a group's ranks take to answer commands.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Patience {
+    /// Smoothed time and its smoothed deviation, in seconds; `None` before the first answer.
+    answers: Option<(f64, f64)>,
+}
+
+impl Patience {
+    /// Records the time that an answer took.
+    pub fn record(&mut self, took: Duration) {
+        let took = took.as_secs_f64();
+        self.answers = Some(match self.answers {
+            None => (took, took / 2.0),
+            Some((time, deviation)) => (
+                time + TIME_WEIGHT * (took - time),
+                deviation + DEVIATION_WEIGHT * ((took - time).abs() - deviation),
+            ),
+        });
+    }
+
+    /// Returns the time to wait for an answer.
+    pub fn wait(&self) -> Duration {
+        let (least, most) = WAIT_RANGE;
+        let Some((time, deviation)) = self.answers else { return most };
+        Duration::from_secs_f64(time + DEVIATIONS * deviation).clamp(least, most)
+    }
+}
--- a/crates/bw-gateway/src/planner/calls.rs
+++ b/crates/bw-gateway/src/planner/calls.rs
@@ -10,18 +10,17 @@
 use bw_http::Client;
 use hyper::Method;
 use log::warn;
+use tokio::time::Instant;
 
 use super::decide::MapPlan;
 
-/// Time limit for a rank's answer to a command.
-const COMMAND_TIMEOUT: Duration = Duration::from_millis(150);
 /// Time limit for a rank's answer to a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Outcome of a call to a rank or of the computation of a plan, with the name of the group.
 pub enum Event {
-    /// The outcome of a command.
-    Answered(String, RankCommand, CommandOutcome),
+    /// The outcome of a command, and the time that it took.
+    Answered(String, RankCommand, CommandOutcome, Duration),
     /// The report of a rank, `None` if the read failed, and the time of the request.
     Reported(String, u16, Option<engines::RankReport>, Duration),
     /// The counts of a rank; `None` if the read failed.
@@ -64,23 +63,26 @@
     Event::HeldExperts(group, rank, held)
 }
 
-/// Sends a command to a rank; `body` is the command encoded as an order.
+/// Sends a command to a rank and waits at most `wait` for the answer; `body` is the command encoded as
+/// an order.
 pub async fn send_command(
     client: Client,
     group: String,
     address: SocketAddr,
     command: RankCommand,
     body: serde_json::Value,
+    wait: Duration,
 ) -> Event {
+    let sent_at = Instant::now();
     let url = format!("http://{address}{}", engines::ORDER_PATH);
-    let outcome = match client.call(Method::POST, &url, Some(&body), COMMAND_TIMEOUT).await {
+    let outcome = match client.call(Method::POST, &url, Some(&body), wait).await {
         Ok(reply) => engines::decode_answer(reply.status),
         Err(error) => {
             warn!("event=order_unanswered rank={address} group={group} reason=\"{error}\"");
             CommandOutcome::Unknown
         }
     };
-    Event::Answered(group, command, outcome)
+    Event::Answered(group, command, outcome, sent_at.elapsed())
 }
 
 /// Reads and decodes a rank's data at a path; on failure logs the reason and returns `None`.
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -8,6 +8,7 @@
 use bw_direct::catalog::Engine;
 use bw_direct::catalog::ExpertShape;
 use bw_expert::drive::Driver;
+use bw_expert::drive::Patience;
 use bw_expert::drive::Phase;
 use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::RankExperts;
@@ -76,6 +77,8 @@
     /// Age of the data in a rank's reports.
     pub report_lag: Duration,
     pub driver: Driver,
+    /// Time to wait for answers to commands.
+    pub patience: Patience,
     pub sampler: Sampler,
     /// Pace of each rank: the factor by which the rank is slower than it should be.
     pub paces: Vec<f64>,
@@ -143,6 +146,7 @@
             sampling: Sampling::Rebase,
             view,
             driver,
+            patience: Patience::default(),
             map: None,
             next_map: None,
             held_experts: HashMap::new(),
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -198,8 +198,11 @@
     fn handle_event(&self, groups: &mut BTreeMap<String, Group>, event: Event) {
         let now = self.clock.now();
         match event {
-            Event::Answered(name, command, outcome) => {
+            Event::Answered(name, command, outcome, took) => {
                 let Some(group) = groups.get_mut(&name) else { return };
+                if outcome != CommandOutcome::Unknown {
+                    group.patience.record(took);
+                }
                 if matches!(outcome, CommandOutcome::Refused | CommandOutcome::Stale) {
                     info!(
                         "event=order_refused group={name} rank={} order={:?} epoch={} \
@@ -322,6 +325,7 @@
                 address,
                 command,
                 body,
+                group.patience.wait(),
             )));
         }
         calls
