Stop a driver that gave its duty up at once, and ignore outcomes of other drivers' commands

Change: groups are dropped as soon as the duty is gone; only outcomes of the own fencing number count.

--- a/crates/bw-expert/src/drive/driver.rs
+++ b/crates/bw-expert/src/drive/driver.rs
@@ -206,8 +206,11 @@
     }
 
     /// Applies the outcome of a command. Outcomes of commands from earlier phases are ignored,
-    /// except [`CommandOutcome::Stale`].
+    /// except [`CommandOutcome::Stale`], and so are those of other drivers' commands.
     pub fn handle_outcome(&mut self, sent: &RankCommand, outcome: CommandOutcome) {
+        if sent.fence != self.tenure.fence() {
+            return;
+        }
         let rank = usize::from(sent.rank);
         if outcome == CommandOutcome::Stale {
             self.phase = Phase::Replaced;
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -97,6 +97,10 @@
                 Some(event) = calls.next() => self.handle_event(&mut groups, event),
                 () = stop.wait() => return Ok(()),
             }
+            // A driver that gave the duty up sends nothing more.
+            if self.peers.duty().is_none() {
+                groups.clear();
+            }
             for group in groups.values_mut() {
                 for call in self.advance(group, &client) {
                     calls.push(call);
