--- a/crates/bw-duty/src/standby.rs
+++ b/crates/bw-duty/src/standby.rs
@@ -84,14 +84,10 @@
     /// processes send news every `round`.
     pub fn should_try(&self, position: usize, round: Duration, now: Duration) -> bool {
         let (least, most) = SILENCE_RANGE;
-        let silence = (round * SILENCE_ROUNDS).clamp(least, most);
-        let since = self.vacant_since.map(|at| now.saturating_sub(at));
-        let waited = since
-            .unwrap_or_default()
-            .max(now.saturating_sub(self.silent_since).saturating_sub(silence));
-        let delay = POSITION_STEP * position as u32;
-        let vacant = since.is_some() || now.saturating_sub(self.silent_since) >= silence;
-        self.held.is_none() && now >= self.retry_at && vacant && waited >= delay
+        let silent_at = self.silent_since + (round * SILENCE_ROUNDS).clamp(least, most);
+        let vacant_at = self.vacant_since.map_or(silent_at, |at| at.min(silent_at));
+        let turn_at = vacant_at + POSITION_STEP * position as u32;
+        self.held.is_none() && now >= turn_at.max(self.retry_at)
     }
 
     /// Records that this process acquired the duty with this fencing number.
