--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -14,8 +14,10 @@
 use bw_adapter::engines;
 use bw_adapter::Object;
 use bw_duty::Lease;
+use bw_expert::drive::Command;
 use bw_expert::drive::CommandOutcome;
 use bw_expert::drive::Phase;
+use bw_expert::drive::RankCommand;
 use bw_expert::drive::RANKS_MIN;
 use bw_http::Client;
 use bw_kernel::BootClock;
@@ -51,6 +53,8 @@
 const STUCK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time before the expected start of the first step of a new map in which the step has to be held.
 const HOLD_LEAD: Duration = Duration::from_millis(40);
+/// Time to wait for the answer to a command that carries a map.
+const MAP_WAIT: Duration = Duration::from_millis(150);
 /// Interval between queries of whether ranks have copied their experts.
 const COPY_POLL_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -204,7 +208,7 @@
         match event {
             Event::Answered(name, command, outcome, took) => {
                 let Some(group) = groups.get_mut(&name) else { return };
-                if outcome != CommandOutcome::Unknown {
+                if outcome != CommandOutcome::Unknown && !carries_map(&command) {
                     group.patience.record(took);
                 }
                 if matches!(outcome, CommandOutcome::Refused | CommandOutcome::Stale) {
@@ -329,13 +333,18 @@
                 address,
                 command,
                 body,
-                group.patience.wait(),
+                if carries_map(&command) { MAP_WAIT } else { group.patience.wait() },
             )));
         }
         calls
     }
 }
 
+/// Returns whether a command carries a map, which takes longer to send to many ranks than the others.
+fn carries_map(command: &RankCommand) -> bool {
+    matches!(command.command, Command::Prepare(_))
+}
+
 /// Returns the label of a phase in metrics.
 fn phase_label(phase: Phase) -> &'static str {
     match phase {
