Log how long large configurations take, and when a gateway stalls

Missing in the logs: whether the gateway that sends the configuration was short of processor time or its link was full; the log shows its lines of several seconds at one moment, from which a stall follows. This adds `stalled`, `configuration_read`, `configuration_fetched` and `reply_compressed`.

--- a/crates/bw-gateway/src/mirror.rs
+++ b/crates/bw-gateway/src/mirror.rs
@@ -38,6 +38,13 @@
     removed: Vec<(String, u64)>,
 }
 
+impl Excerpt {
+    /// Returns the revision up to which the reply shows changes.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+}
+
 /// Objects by kind, with their most recent changes.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -49,6 +49,9 @@
 /// Bits of a stamp that hold the milliseconds of one incarnation's clock; sufficient for about
 /// fifty days.
 const STAMP_BITS: u32 = 32;
+/// Delay of a round of news from which the process is logged as stalled: other work kept it from
+/// running for at least that long.
+const STALL_MIN: Duration = Duration::from_millis(250);
 /// Largest datagram, in bytes, that is received whole.
 const DATAGRAM_MAX: usize = 16_384;
 
@@ -292,6 +295,10 @@
         loop {
             tokio::select! {
                 () = tokio::time::sleep_until(next) => {
+                    let late = next.elapsed();
+                    if late >= STALL_MIN {
+                        warn!("event=stalled late_ms={}", late.as_millis());
+                    }
                     self.send_news(&socket, rounds).await;
                     rounds += 1;
                     next = Instant::now() + news_interval(self.peers.live_count(self.clock.now()));
--- a/crates/bw-gateway/src/relay.rs
+++ b/crates/bw-gateway/src/relay.rs
@@ -20,6 +20,7 @@
 use bw_http::text_reply;
 use bytes::Bytes;
 use hyper::header::ACCEPT_ENCODING;
+use log::info;
 use log::warn;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -143,6 +144,12 @@
         }
         match compress(text.as_bytes()) {
             Ok(body) => {
+                info!(
+                    "event=reply_compressed kind={kind} revision={} bytes={} sent_bytes={}",
+                    excerpt.revision(),
+                    text.len(),
+                    body.len()
+                );
                 *self.compressed() = Some(CompressedReply { excerpt, body: body.clone() });
                 Some(compressed_json_reply(body))
             }
--- a/crates/bw-gateway/src/sync/config.rs
+++ b/crates/bw-gateway/src/sync/config.rs
@@ -11,6 +11,7 @@
 use bw_direct::Catalog;
 use bw_kernel::Stop;
 use bw_platform::StoreError;
+use log::info;
 use log::warn;
 
 use super::source::Feed;
@@ -112,8 +113,11 @@
 
     /// Fetches a newer version from a peer that has announced one.
     async fn fetch_config(&self, peer: SocketAddr) {
+        let started_at = self.clock.now();
         match Feed::peer(peer).list(catalog::KIND).await {
             Ok((list, _)) => {
+                let took = self.clock.now().saturating_sub(started_at);
+                info!("event=configuration_fetched peer={peer} took_ms={}", took.as_millis());
                 for object in list {
                     self.apply_config(&object, None);
                     let revision = object.revision;
@@ -133,9 +137,18 @@
         if object.name != catalog::NAME {
             return;
         }
+        let started_at = self.clock.now();
         let draft = catalog::decode_config(object).map_err(|error| error.to_string());
         let checked =
             draft.and_then(|draft| Catalog::try_from(draft).map_err(|error| error.to_string()));
+        let took = self.clock.now().saturating_sub(started_at);
+        info!(
+            "event=configuration_read revision={} routes={} proof_ms={} took_ms={}",
+            object.revision,
+            checked.as_ref().map_or(0, |catalog| catalog.routes.len()),
+            proof.map_or(-1, |sent| started_at.saturating_sub(sent).as_millis() as i64),
+            took.as_millis()
+        );
         match checked {
             Ok(catalog) => self.config.apply(catalog, proof),
             Err(reason) => {
