Ask the system which callers have left before a request is sent

What callers saw: work went on for callers that had left (GONE, 12 requests at the first gateway of a data centre while it sent a large configuration to the others).

Cause: after a stall, a gateway goes on with what its runtime knew of the connections before it. Requests are read, placed and sent, and only then does the runtime ask the system and learn that callers have closed.

Change: a send first lets the runtime poll the connections, again if that took longer than 200 ms, three times at most. A connection whose caller has left then drops its request before it is sent. A stream that resumes prefers to notice that its caller has left.

--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -33,6 +33,12 @@
 const ANSWER_TIMEOUT_TARGETS: u32 = 4;
 /// HTTP status with which an endpoint rejects a request that is addressed to another endpoint.
 const MISDIRECTED: u16 = 421;
+/// Greatest age of what the runtime knows of the callers' connections when a request is sent. Other
+/// work may keep a gateway busy for longer, and callers leave meanwhile.
+const CALLER_AGE_MAX: Duration = Duration::from_millis(200);
+/// Times that a send waits for the runtime to learn which callers have left, so that a gateway that is
+/// always busy still sends requests.
+const CALLER_CHECKS_MAX: u32 = 3;
 /// Timeouts that detect dead connections to endpoints.
 const ENDPOINT_LIVENESS: Liveness = Liveness {
     connect: Duration::from_millis(400),
@@ -112,6 +118,7 @@
         mut placed: PlacedRequest,
         last_event: Option<u64>,
     ) -> Result<EndpointAnswer, SendEnd> {
+        self.check_callers().await;
         let sent_at = self.clock.now();
         let key = placed.chosen.key;
         job.tried.push(key);
@@ -149,6 +156,21 @@
         }
     }
 
+    /// Lets the runtime learn from the system which callers have closed their connections. The
+    /// connection of a caller that has left drops the request, which waits here, before it is sent.
+    async fn check_callers(&self) {
+        for _ in 0..CALLER_CHECKS_MAX {
+            let asked_at = self.clock.now();
+            // The runtime resumes a task that yields after it has polled the connections. The yield
+            // is in a task of its own, since the caller's connection may poll this one again at once.
+            // The task cannot fail.
+            let _ = tokio::spawn(tokio::task::yield_now()).await;
+            if self.clock.now().saturating_sub(asked_at) <= CALLER_AGE_MAX {
+                return;
+            }
+        }
+    }
+
     async fn exchange(
         &self,
         job: &Job,
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -232,8 +232,9 @@
             };
             let forwarder = self.forwarder.clone();
             let result = tokio::select! {
-                result = forwarder.send(&mut self.job, placed, self.last_event) => result,
+                biased;
                 () = self.sender.closed() => return None,
+                result = forwarder.send(&mut self.job, placed, self.last_event) => result,
             };
             match result {
                 Ok(EndpointAnswer::Started(started)) => return Some(*started),
