Log the requests that were in flight at a crash, with the shared parts of their prompts

For 20 s and more nearly all other requests are refused, since each crash stops the whole group. The log had only the number of requests in flight, so that neither the part nor the sound requests beside it could be told. This adds a line for each of them.

--- a/crates/bw-direct/src/request.rs
+++ b/crates/bw-direct/src/request.rs
@@ -14,6 +14,9 @@
     pub tokens: u32,
 }
 
+/// Identifiers of parts of a prompt.
+pub type PartIds = SmallVec<[u64; 4]>;
+
 /// Token counts of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TokenUse {
@@ -44,6 +47,15 @@
     pub answer: Option<u64>,
 }
 
+impl CallerHead {
+    /// Returns the identifiers of the parts of the prompt that other requests may share: all but the
+    /// last one, which belongs to the request or its session.
+    pub fn shared_parts(&self) -> PartIds {
+        let shared = self.prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id).collect()
+    }
+}
+
 /// Reason why a request head is rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum HeadError {
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -149,7 +149,7 @@
                     self.endpoints.record_failure(key, self.clock.now());
                 }
                 if failure.broken {
-                    self.suspects.record_broken(&placed.chosen, job.fingerprint);
+                    self.suspects.record_broken(&placed.chosen, job);
                 }
                 Err(failure.end)
             }
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -98,7 +98,7 @@
                 }
                 PartEnd::Broken(reason) => {
                     self.forwarder.endpoints.record_failure(chosen.key, self.forwarder.clock.now());
-                    self.forwarder.suspects.record_broken(&chosen, self.job.fingerprint);
+                    self.forwarder.suspects.record_broken(&chosen, &self.job);
                     self.job.append_trace(&format!("broken:{reason}"));
                     match self.resume(None).await {
                         Some(next) => part = next,
--- a/crates/bw-gateway/src/suspects.rs
+++ b/crates/bw-gateway/src/suspects.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bw_direct::peers::SuspectNews;
+use bw_direct::request::PartIds;
 use bw_http::Channel;
 use bw_http::Liveness;
 use bw_kernel::BootClock;
@@ -16,9 +17,11 @@
 use bw_once::evidence::Suspicion;
 use bw_once::Crash;
 use bw_once::Evidence;
+use log::info;
 use log::warn;
 
 use crate::endpoints::ChosenEndpoint;
+use crate::forward::job::Job;
 
 /// Crashes after which a request is not sent again. Requests that merely ran beside the one that
 /// caused a crash get a strike as well, so one or two strikes prove nothing.
@@ -37,11 +40,23 @@
     probe: Duration::from_millis(1_000),
 };
 
+/// A request whose connection broke.
+struct BrokenRequest {
+    /// Time at which the connection broke.
+    at: Duration,
+    /// The caller's id of the attempt.
+    attempt: String,
+    /// Fingerprint of the request.
+    fingerprint: u64,
+    /// Parts of the prompt that other requests may share.
+    parts: PartIds,
+}
+
 struct State {
     evidence: Evidence,
     /// Requests whose connections broke and whose endpoint is being checked, by the endpoint's
-    /// name and start time; each with the time at which the connection broke.
-    broken: HashMap<(String, u64), Vec<(Duration, u64)>>,
+    /// name and start time.
+    broken: HashMap<(String, u64), Vec<BrokenRequest>>,
     /// Suspects of recent crashes at this gateway, oldest first, with the time of their recording.
     recent: VecDeque<(Duration, SuspectNews)>,
 }
@@ -74,13 +89,18 @@
 
     /// Records that a connection broke while a request ran, and starts a check of whether the
     /// endpoint crashed.
-    pub fn record_broken(&self, chosen: &ChosenEndpoint, fingerprint: u64) {
-        let now = self.clock.now();
+    pub fn record_broken(&self, chosen: &ChosenEndpoint, job: &Job) {
+        let request = BrokenRequest {
+            at: self.clock.now(),
+            attempt: job.head.attempt.clone(),
+            fingerprint: job.fingerprint,
+            parts: job.head.shared_parts(),
+        };
         let incarnation = (chosen.name.clone(), chosen.born);
         {
             let mut state = self.lock();
             let broken = state.broken.entry(incarnation.clone()).or_default();
-            broken.push((now, fingerprint));
+            broken.push(request);
             if broken.len() > 1 {
                 // The check that the first broken connection started is still running.
                 return;
@@ -119,16 +139,19 @@
         if listens {
             return;
         }
-        let same_crash = broken.iter().filter(|(at, _)| now.saturating_sub(*at) <= CRASH_WINDOW);
-        let suspects: Vec<SuspectNews> = same_crash
-            .map(|(_, fingerprint)| SuspectNews {
+        let is_same = |request: &&BrokenRequest| now.saturating_sub(request.at) <= CRASH_WINDOW;
+        let in_flight: Vec<&BrokenRequest> = broken.iter().filter(is_same).collect();
+        warn!("event=crash_recorded endpoint={} suspects={}", incarnation.0, in_flight.len());
+        for request in in_flight {
+            info!(
+                "event=crash_suspect endpoint={} request={} fingerprint={:016x} parts={:x?}",
+                incarnation.0, request.attempt, request.fingerprint, request.parts
+            );
+            let suspect = SuspectNews {
                 endpoint: incarnation.0.clone(),
                 born: incarnation.1,
-                fingerprint: *fingerprint,
-            })
-            .collect();
-        warn!("event=crash_recorded endpoint={} suspects={}", incarnation.0, suspects.len());
-        for suspect in suspects {
+                fingerprint: request.fingerprint,
+            };
             state.evidence.record(&to_crash(&suspect));
             state.recent.push_back((now, suspect));
         }
