--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -45,6 +45,9 @@
     Reset,
     /// Runs the request and crashes: stops listening, then resets this connection.
     Crash,
+    /// Runs the request; crashes as [`Self::Crash`] if its prompt has the given part, and otherwise
+    /// streams two events.
+    CrashOnPart(u64),
     /// Closes the connection without running the request.
     Close,
     /// Runs the request and never answers.
@@ -170,6 +173,11 @@
                 let mut state = self.lock();
                 state.script.pop_front().unwrap_or_else(|| self.default.clone())
             };
+            let behaviour = match behaviour {
+                Behaviour::CrashOnPart(part) if request.parts.contains(&part) => Behaviour::Crash,
+                Behaviour::CrashOnPart(_) => Behaviour::Stream(2),
+                behaviour => behaviour,
+            };
             let attempt = request.attempt.clone().unwrap_or_default();
             self.update(|state| {
                 state.observed.requests.push(request.clone());
@@ -230,6 +238,8 @@
                 return Ok(true);
             }
             Behaviour::Reset => stream.set_zero_linger()?,
+            // Replaced before it gets here.
+            Behaviour::CrashOnPart(_) => {}
             Behaviour::Crash => {
                 stream.set_zero_linger()?;
                 self.crashed.notify_one();
--- a/crates/bw-gateway/tests/common/mod.rs
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -192,6 +192,15 @@
         rig
     }
 
+    /// Stops this gateway and starts another one on the same store and endpoints.
+    pub async fn restart(self, instance: &str) -> Self {
+        let (platform, endpoints) = (self.platform.clone(), self.endpoints.clone());
+        self.stop().await;
+        let rig = Self::start_gateway(instance, platform, endpoints).await;
+        rig.wait_ready().await;
+        rig
+    }
+
     /// Starts another gateway of the same deployment, with `faults` in its access to the store.
     /// Does not wait until the gateway is ready.
     pub async fn start_with_faults(&self, instance: &str, faults: Faults) -> Self {
