--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -95,6 +95,28 @@
     first.stop().await;
 }
 
+/// Guards against gateways that serve as an older version says while they know of a newer one. Its
+/// transfer may fail for as long as the gateways that have it are overloaded.
+#[tokio::test]
+async fn a_gateway_that_does_not_get_a_version_in_time_refuses_requests_instead_of_using_an_older_one(
+) {
+    let mut draft = draft(1);
+    draft.routes.iter_mut().for_each(|route| route.public = true);
+    let rig = Rig::start_with(&[ok_answer()], draft).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    // Announces a version but serves no connections.
+    let silent = socket.local_addr().unwrap();
+    rig.send_news(&socket, &news("b-1", "b", silent, 2, 1)).await;
+    assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+    tokio::time::sleep(rig.settings.apply).await;
+    let refused = rig.call("GET", "/status/1", "").await;
+    assert_eq!((refused.status, refused.retry_after.is_some()), (503, true));
+    assert!(!rig.is_ready().await);
+    rig.configure(&common::draft(2));
+    rig.wait_status("/status/1", 200).await;
+    rig.stop().await;
+}
+
 #[tokio::test]
 async fn a_revoked_key_is_rejected() {
     let rig = Rig::start(&[ok_answer()]).await;
