Refuse requests while a known newer configuration cannot be had

Cause: a gateway judged its configuration by the proof alone, which stays valid until a revoked key must be rejected (5 s) and is not asked for public routes. That it knew of a newer version made no difference.

Change: a gateway that has known of a newer version for 0.7 of the time within which a change must be in force is neither ready nor uses the older one; it tells callers that nothing has run and when to come back. `refused` lines carry `behind_ms`. An existing test passes the time of the announcement in addition.

--- a/crates/bw-gateway/src/config.rs
+++ b/crates/bw-gateway/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration in force, and the proof that it is the newest.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,12 +14,20 @@
 use rand::Rng;
 use tokio::sync::Notify;
 
+use crate::reload::LiveSettings;
+
+/// Maximum number of announced versions whose times are kept. The first ones matter most.
+const MISSING_MAX: usize = 64;
+
 struct State {
     catalog: Option<Arc<Catalog>>,
     /// Time up to which every accepted change is known to be in force at this gateway.
     proof: Option<Duration>,
     /// A peer that has a higher version.
     ahead: Option<AheadPeer>,
+    /// Versions above the one in force that peers have announced, in the order of their first
+    /// announcements, with the times of these.
+    missing: VecDeque<(Version, Duration)>,
 }
 
 /// The highest version that peers have announced, with one of these peers.
@@ -39,7 +48,7 @@
 
 impl Default for Config {
     fn default() -> Self {
-        let state = State { catalog: None, proof: None, ahead: None };
+        let state = State { catalog: None, proof: None, ahead: None, missing: VecDeque::new() };
         Self { state: Arc::new(Mutex::new(state)), version_behind: Arc::default() }
     }
 }
@@ -68,6 +77,7 @@
         if known == Some(catalog.version) {
             return;
         }
+        state.missing.retain(|(version, _)| *version > catalog.version);
         info!(
             "event=configuration_in_force version={} before={} routes={} workspaces={}",
             catalog.version,
@@ -92,17 +102,39 @@
         self.lock().proof.map(|proof| now.saturating_sub(proof))
     }
 
-    /// Records that a peer has a version, and wakes [`Self::newer_peer`] when the version is newer
+    /// Returns whether the configuration may decide about requests that a newer one may treat otherwise.
+    pub fn is_current(&self, settings: &LiveSettings, now: Duration) -> bool {
+        let proof = self.proof_age(now);
+        let proved = proof.is_some_and(|age| age <= settings.proof_age_max());
+        proved && !self.is_late(settings, now)
+    }
+
+    /// Returns whether a newer version has been known for longer than a change may take.
+    pub fn is_late(&self, settings: &LiveSettings, now: Duration) -> bool {
+        self.behind_for(now).is_some_and(|behind| behind > settings.behind_max())
+    }
+
+    /// Returns the time for which a version above the one in force has been known to exist; `None` if
+    /// there is none.
+    pub fn behind_for(&self, now: Duration) -> Option<Duration> {
+        self.lock().missing.front().map(|(_, since)| now.saturating_sub(*since))
+    }
+
+    /// Records at `now` that a peer has a version, and wakes [`Self::newer_peer`] when the version is newer
     /// than the one in force.
     ///
     /// Among peers that announce the same version, one is drawn at random, so that the gateways that
     /// are behind do not all ask the same one.
-    pub fn record_peer_version(&self, version: Version, address: SocketAddr) {
+    pub fn record_peer_version(&self, version: Version, address: SocketAddr, now: Duration) {
         let mut state = self.lock();
         let known = state.catalog.as_ref().map_or(Version(0), |catalog| catalog.version);
         if version <= known {
             return;
         }
+        let heard = state.missing.iter().any(|(missing, _)| *missing >= version);
+        if !heard && state.missing.len() < MISSING_MAX {
+            state.missing.push_back((version, now));
+        }
         let ahead = match state.ahead.take() {
             Some(ahead) if ahead.version > version => ahead,
             Some(ahead) if ahead.version == version => {
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -130,11 +130,12 @@
         self.metrics.record_request("", refusal.code());
         info!(
             "event=refused request={attempt} reason={} status={} version={} proof_age_ms={} \
-             retry_after_ms={} took_ms={}",
+             behind_ms={} retry_after_ms={} took_ms={}",
             refusal.code(),
             refusal.status().as_u16(),
             self.config.version(),
             self.config.proof_age(now).map_or(-1, |age| age.as_millis() as i64),
+            self.config.behind_for(now).map_or(-1, |behind| behind.as_millis() as i64),
             after.map_or(-1, |after| after.as_millis() as i64),
             now.saturating_sub(arrived_at).as_millis()
         );
@@ -154,6 +155,10 @@
             .route(&head.host, parts.uri.path())
             .ok_or_else(|| self.unless_stale(Refusal::NoRoute))?;
         let route = &catalog.routes[key];
+        // The newer version may send the request elsewhere.
+        if self.config.is_late(&self.settings, self.clock.now()) {
+            return Err((Refusal::Unproved, Some(RETRY_UNREADY)));
+        }
         let mut workspace = None;
         if !route.public && catalog.requires_key {
             let found = head.key.as_deref().and_then(|key| catalog.workspace(key));
@@ -205,8 +210,7 @@
     }
 
     fn is_proved(&self) -> bool {
-        let age = self.config.proof_age(self.clock.now());
-        age.is_some_and(|age| age <= self.settings.proof_age_max())
+        self.config.is_current(&self.settings, self.clock.now())
     }
 
     /// Reserves memory for a body before it is read; a body of unknown length reserves the limit.
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -466,7 +466,7 @@
         }
         self.suspects.receive(&news.suspects);
         self.endpoints.receive_work(&news.state.instance, &news.works, now);
-        self.config.record_peer_version(news.state.version, news.address.news);
+        self.config.record_peer_version(news.state.version, news.address.news, now);
         self.peers.record_peer_listing(news.listing, news.address.news);
         self.waiting.dispatch();
     }
--- a/crates/bw-gateway/src/reload.rs
+++ b/crates/bw-gateway/src/reload.rs
@@ -19,6 +19,11 @@
 /// request is checked after its caller has sent it, so the remaining time only covers rounding.
 const PROOF_AGE_FRACTION: f64 = 0.97;
 
+/// Longest time for which a newer configuration may be known without being in force, as a fraction of
+/// the time within which a configuration has to be in force. The rest covers the time until a peer's news
+/// of it arrive.
+const BEHIND_FRACTION: f64 = 0.7;
+
 /// The settings in force, shared by the services of the gateway.
 #[derive(Clone, Debug)]
 pub struct LiveSettings(Live<Settings>);
@@ -39,6 +44,11 @@
         self.get().revoke.mul_f64(PROOF_AGE_FRACTION)
     }
 
+    /// Returns the longest time for which a newer configuration may be known without being in force.
+    pub fn behind_max(&self) -> Duration {
+        self.get().apply.mul_f64(BEHIND_FRACTION)
+    }
+
     /// Puts settings into force, except the identity of the gateway, the addresses of open sockets,
     /// the address and call rate of the store, and the log filter, which stay as they were at the
     /// start.
--- a/crates/bw-gateway/src/web.rs
+++ b/crates/bw-gateway/src/web.rs
@@ -47,12 +47,12 @@
 }
 
 impl Readiness {
-    /// Returns whether callers should be sent to this gateway: it has a recent proof that its
-    /// configuration is the newest, it knows endpoints, and it is not leaving.
+    /// Returns whether callers should be sent to this gateway: its configuration is
+    /// current, it knows endpoints, and it is not leaving.
     pub fn is_ready(&self) -> bool {
-        let proof = self.config.proof_age(self.clock.now());
-        let proved = proof.is_some_and(|age| age <= self.settings.proof_age_max());
-        proved && !self.endpoints.is_empty() && !self.peers.is_leaving()
+        self.config.is_current(&self.settings, self.clock.now())
+            && !self.endpoints.is_empty()
+            && !self.peers.is_leaving()
     }
 }
 
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -276,10 +276,10 @@
     for _ in 0..200 {
         let config = Config::default();
         for peer in &peers {
-            config.record_peer_version(Version(2), *peer);
+            config.record_peer_version(Version(2), *peer, Duration::ZERO);
         }
         // An older version announced later does not take the place of the newest one.
-        config.record_peer_version(Version(1), ([127, 0, 0, 1], 9).into());
+        config.record_peer_version(Version(1), ([127, 0, 0, 1], 9).into(), Duration::ZERO);
         drawn.insert(config.newer_peer().await);
     }
     assert_eq!(drawn, peers.into_iter().collect());
