--- a/crates/bw-model/src/hash.rs
+++ b/crates/bw-model/src/hash.rs
@@ -32,6 +32,7 @@
 /// Fingerprints a request's content, to recognize a repeated request that has another id.
 pub fn fingerprint(pool: &str, path: &str, body: &[u8]) -> u64 {
     let seed = xxh3_64_with_seed(pool.as_bytes(), path.len() as u64);
+    let seed = xxh3_64_with_seed(path.as_bytes(), seed);
     xxh3_64_with_seed(body, seed)
 }
 
