--- a/crates/bw-fake/src/objects.rs
+++ b/crates/bw-fake/src/objects.rs
@@ -56,7 +56,7 @@
     /// Returns the changes of a kind after a revision, or `None` if the history that far back has
     /// been discarded.
     pub fn changes(&self, kind: &str, after: u64) -> Option<Changes> {
-        if after < self.discarded {
+        if after < self.discarded || after > self.revision {
             return None;
         }
         let newer = self.history.iter().filter(|(revision, _)| *revision > after);
@@ -70,6 +70,12 @@
         self.history.clear();
     }
 
+    /// Goes back to `older`, as a store that returns from an older copy of itself. Revisions after it
+    /// are given out again; watches from one that is not given out yet fail.
+    pub fn restore(&mut self, older: Self) {
+        *self = older;
+    }
+
     /// Creates an object.
     ///
     /// # Errors
--- a/crates/bw-fake/src/platform.rs
+++ b/crates/bw-fake/src/platform.rs
@@ -12,6 +12,7 @@
 use bw_adapter::objects::codec::encode_stored;
 use bw_adapter::objects::codec::StoreCall;
 use bw_adapter::objects::codec::OBJECTS_PATH;
+use bw_adapter::objects::era::encode_era;
 use bw_adapter::Object;
 use bw_http::json_reply;
 use bw_http::read_body;
@@ -73,6 +74,8 @@
 struct State {
     objects: Objects,
     calls: Calls,
+    /// Number of restores, plus one.
+    era: u64,
 }
 
 /// A handle to the object store. Clones share objects, rate limit and faults.
@@ -100,7 +103,7 @@
     /// Creates an empty store that accepts `rate` calls per second.
     pub fn new(rate: f64) -> Self {
         Self {
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(State { era: 1, ..State::default() })),
             faults: Arc::default(),
             budget: Arc::new(Mutex::new(Budget::new(rate, rate))),
             started_at: Instant::now(),
@@ -141,12 +144,33 @@
         result
     }
 
+    /// Returns a copy of all objects and their history.
+    pub fn snapshot(&self) -> Objects {
+        self.lock().objects.clone()
+    }
+
+    /// Loses all changes since `snapshot` was taken, and starts the next era of the store.
+    pub fn restore(&self, snapshot: Objects) {
+        let revision = snapshot.revision();
+        {
+            let mut state = self.lock();
+            state.objects.restore(snapshot);
+            state.era += 1;
+        }
+        self.changed.send_replace(revision);
+    }
+
     /// Returns the routes of the store's API.
     pub fn routes(&self) -> Router {
         let store = self.clone();
         let call = move |request: Request| {
             let store = store.clone();
-            async move { store.serve(request).await }
+            async move {
+                let mut response = store.serve(request).await?;
+                let (name, value) = encode_era(store.lock().era);
+                response.headers_mut().insert(name, value);
+                Ok(response)
+            }
         };
         Router::new().any(format!("{OBJECTS_PATH}/*"), call)
     }
