Include the store's era in fencing numbers, so that a restore hands none out again

What could be seen: a store that returns from a copy without the newest lease gives its number to the next holder. Two drivers then issue the same versions for different maps, and where ranks ignore fencing numbers, steps start with two maps.

Change: the number is the era and the count of holders. The lease is read and written in one era, or the number is not used. The rank for holds follows the count, which continues over eras above all counts heard of.

--- a/crates/bw-duty/src/standby.rs
+++ b/crates/bw-duty/src/standby.rs
@@ -34,6 +34,8 @@
     vacant_since: Option<Duration>,
     /// The highest fencing number received or acquired.
     known: Fence,
+    /// The highest number of holders received or acquired, in any era.
+    holders: u64,
     held: Option<Fence>,
     /// Earliest time of the next try.
     retry_at: Duration,
@@ -47,6 +49,7 @@
             holder: None,
             vacant_since: None,
             known: Fence(0),
+            holders: 0,
             held: None,
             retry_at: Duration::ZERO,
         }
@@ -58,6 +61,7 @@
     /// Announcements with a lower number than the highest known are ignored.
     pub fn observe(&mut self, instance: &str, duty: Option<Fence>, leaving: bool, now: Duration) {
         let was_holder = self.holder.as_deref() == Some(instance);
+        self.holders = self.holders.max(duty.map_or(0, Fence::holder));
         match duty {
             Some(fence) if fence >= self.known => {
                 if fence > self.known || !was_holder {
@@ -90,8 +94,20 @@
         self.held.is_none() && now >= turn_at.max(self.retry_at)
     }
 
+    /// Returns the fencing number for this process to acquire the duty with, given the one in the lease
+    /// and the era of the store in which the lease was read.
+    ///
+    /// Unique if the lease is written conditionally in the same era: the store has lost the numbers that
+    /// it handed out in later eras than the lease's only by starting a new one. The holder count also
+    /// exceeds that of all holders known here, since it selects the rank for holds.
+    pub fn next_fence(&self, lease: Fence, era: u64) -> Fence {
+        let holder = lease.holder().max(self.holders) + 1;
+        Fence::new(era.max(lease.era()), holder)
+    }
+
     /// Records that this process acquired the duty with this fencing number.
     pub fn acquire(&mut self, fence: Fence) {
+        self.holders = self.holders.max(fence.holder());
         self.known = self.known.max(fence);
         self.held = Some(fence);
         self.holder = None;
--- a/crates/bw-duty/tests/standby.rs
+++ b/crates/bw-duty/tests/standby.rs
@@ -87,3 +87,29 @@
     assert!(!standby.should_try(0, ROUND, ms(1_300)));
     assert!(standby.should_try(0, ROUND, ms(1_600)));
 }
+
+/// The store returns from a copy without the lease while its holder goes on.
+#[test]
+fn a_number_is_higher_than_all_that_the_store_has_lost() {
+    let lost = Fence::new(1, 7);
+    let restored = Fence::new(1, 4);
+    // A process that has never heard of the lost holders.
+    let fresh = Standby::new(ms(0));
+    assert!(fresh.next_fence(restored, 2) > lost);
+    assert!(fresh.next_fence(Fence(0), 2) > lost);
+    // Two restores in a row, and a lease that was written in the first era after it.
+    let second = fresh.next_fence(restored, 2);
+    assert!(fresh.next_fence(restored, 3) > second);
+    assert!(fresh.next_fence(second, 3) > second);
+}
+
+/// The count of holders selects the rank at which a driver holds steps, so that drivers after one another
+/// must differ in it, too.
+#[test]
+fn the_count_of_holders_exceeds_that_of_all_known_ones() {
+    let mut standby = with_holder();
+    standby.observe("b", Some(Fence::new(1, 9)), false, ms(1_200));
+    assert_eq!(standby.next_fence(Fence::new(1, 4), 2), Fence::new(2, 10));
+    assert_eq!(standby.next_fence(Fence::new(1, 12), 2), Fence::new(2, 13));
+    assert_eq!(standby.next_fence(Fence::new(2, 12), 1), Fence::new(2, 13));
+}
--- a/crates/bw-expert/src/drive/tenure.rs
+++ b/crates/bw-expert/src/drive/tenure.rs
@@ -26,7 +26,7 @@
 /// relies on. Ranks are reused after as many drivers as the group has ranks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Tenure {
-    lease: u64,
+    lease: Fence,
     ranks: u16,
     /// Number of versions issued.
     issued: u64,
@@ -35,12 +35,12 @@
 impl Tenure {
     /// Creates the tenure of the holder of a lease over a group of `ranks` ranks.
     pub fn new(lease: Fence, ranks: u16) -> Self {
-        Self { lease: lease.0, ranks, issued: 0 }
+        Self { lease, ranks, issued: 0 }
     }
 
     /// Returns the fencing number of the driver's commands.
     pub fn fence(&self) -> Fence {
-        Fence(self.lease << VERSION_BITS)
+        Fence(self.lease.0 << VERSION_BITS)
     }
 
     /// Returns a new map version, which is higher than all versions of this and of older drivers.
@@ -51,7 +51,7 @@
 
     /// Returns the driver that issued a version.
     pub fn version_owner(&self, version: MapVersion) -> Owner {
-        match (version.0 >> VERSION_BITS).cmp(&self.lease) {
+        match (version.0 >> VERSION_BITS).cmp(&self.lease.0) {
             std::cmp::Ordering::Less => Owner::Older,
             std::cmp::Ordering::Equal => Owner::Own,
             std::cmp::Ordering::Greater => Owner::Newer,
@@ -60,7 +60,7 @@
 
     /// Returns the rank at which this driver holds steps.
     pub fn hold_rank(&self) -> u16 {
-        (self.lease % u64::from(self.ranks.max(1))) as u16
+        (self.lease.holder() % u64::from(self.ranks.max(1))) as u16
     }
 
     /// Returns the driver that holds steps at a rank: the nearest one, older or newer, by the order
--- a/crates/bw-explore/src/drive.rs
+++ b/crates/bw-explore/src/drive.rs
@@ -37,6 +37,10 @@
     const CLAIMS: bool = true;
     /// Whether a driver supersedes the version of a switch that it cancels.
     const SUPERSEDES: bool = true;
+    /// Whether each driver acquires its lease in an era of its own, since the store is restored before.
+    const RESTORES: bool = false;
+    /// Whether the store never hands the number of a lease out again.
+    const UNIQUE_LEASES: bool = true;
 }
 
 /// Ranks that follow the published rules and ignore fencing numbers.
@@ -109,6 +113,22 @@
     const SUPERSEDES: bool = false;
 }
 
+/// A store that is restored from an older copy before each takeover, in a new era.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Restored;
+
+impl DriveRules for Restored {
+    const RESTORES: bool = true;
+}
+
+/// A store that is restored from an older copy and hands out the same number to all drivers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct ReusedLease;
+
+impl DriveRules for ReusedLease {
+    const UNIQUE_LEASES: bool = false;
+}
+
 /// Number of times that each fault or action may still happen, which bounds the state space.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Faults {
@@ -188,7 +208,12 @@
     fn add_driver(&mut self) {
         let count = self.ranks.len() as u16;
         let stride = if R::OWN_RANKS { 1 } else { u64::from(count) };
-        let lease = Fence(stride * (self.drivers.len() as u64 + 1));
+        let holder = stride * (self.drivers.len() as u64 + 1);
+        let lease = match (R::UNIQUE_LEASES, R::RESTORES) {
+            (false, _) => Fence::new(1, 1),
+            (true, false) => Fence::new(1, holder),
+            (true, true) => Fence::new(holder, holder),
+        };
         self.drivers.push(Driver::new(count, lease));
         self.next_reads.push(0);
     }
--- a/crates/bw-explore/tests/drive.rs
+++ b/crates/bw-explore/tests/drive.rs
@@ -13,6 +13,8 @@
 use bw_explore::drive::NoHold;
 use bw_explore::drive::NoSuperseding;
 use bw_explore::drive::PartialReports;
+use bw_explore::drive::Restored;
+use bw_explore::drive::ReusedLease;
 use bw_explore::drive::SharedRank;
 use bw_explore::drive::Unfenced;
 use bw_explore::explore;
@@ -154,3 +156,15 @@
 fn drivers_that_only_disarm_a_cancelled_switch_are_caught() {
     assert!(is_caught::<NoSuperseding>(TAKEOVER));
 }
+
+/// A store that returns from an older copy hands the number of a lease out again. Drivers that follow it
+/// issue the same versions for different maps, and hold at the same rank.
+#[test]
+fn drivers_with_the_same_lease_are_caught() {
+    assert!(is_caught::<ReusedLease>(TAKEOVER));
+}
+
+#[test]
+fn drivers_that_acquire_their_leases_in_different_eras_of_the_store_mix_no_maps() {
+    explore_mixed_faults::<Restored>();
+}
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -170,6 +170,12 @@
         state.ready && !state.own.leaving && state.duty.should_try(position, round, now)
     }
 
+    /// Returns the fencing number to acquire the planning duty with, given the one in the lease and the
+    /// era of the store in which the lease was read.
+    pub fn next_duty(&self, lease: Fence, era: u64) -> Fence {
+        self.lock().duty.next_fence(lease, era)
+    }
+
     /// Records that this gateway has acquired the planning duty, and announces it to the peers.
     pub fn acquire_duty(&self, fence: Fence) {
         self.lock().duty.acquire(fence);
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -139,17 +139,19 @@
         }
     }
 
-    /// Acquires the lease by a conditional write that increments its fencing number; returns `None`
-    /// when another gateway was first.
+    /// Acquires the lease by a conditional write that raises its fencing number; returns `None` when
+    /// another gateway was first, or the store has lost what was read.
     async fn acquire_lease(&self) -> Result<Option<Fence>, StoreError> {
-        let known = self.store.get(Purpose::Lease, LEASE_KIND, LEASE_NAME).await?;
+        let (known, era) = self.store.get_in_era(Purpose::Lease, LEASE_KIND, LEASE_NAME).await?;
         let revision = known.as_ref().map_or(0, |object| object.revision);
         let lease = known.map(|object| object.content::<Lease>()).transpose()?.unwrap_or_default();
-        let fence = Fence(lease.fence.0 + 1);
+        let fence = self.peers.next_duty(lease.fence, era);
         let next = Lease { holder: self.instance.clone(), fence, renewal: 0 };
         let object = Object::new(LEASE_KIND, LEASE_NAME, revision, &next)?;
-        match self.store.put(Purpose::Lease, &object).await {
-            Ok(_) => Ok(Some(fence)),
+        match self.store.put_in_era(Purpose::Lease, &object).await {
+            Ok(written) if written == era => Ok(Some(fence)),
+            // The revision was given out again; another holder may have the number.
+            Ok(_) => Ok(None),
             Err(StoreError::Conflict) => Ok(None),
             Err(error) => Err(error),
         }
--- a/crates/bw-http/src/client.rs
+++ b/crates/bw-http/src/client.rs
@@ -60,6 +60,8 @@
 pub struct Reply {
     /// HTTP status.
     pub status: u16,
+    /// Header fields.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -146,16 +148,17 @@
         let exchange = async {
             let response = self.send(request, limit).await?;
             let status = response.status().as_u16();
-            let compressed = is_gzip(response.headers());
-            let collected = response.into_body().collect().await;
+            let (parts, body) = response.into_parts();
+            let compressed = is_gzip(&parts.headers);
+            let collected = body.collect().await;
             let body = collected.map_err(|error| ClientError::Broken(error.to_string()))?;
             let body = body.to_bytes();
             if !compressed {
-                return Ok(Reply { status, body });
+                return Ok(Reply { status, headers: parts.headers, body });
             }
             let body = decompress(&body)
                 .map_err(|error| ClientError::InvalidReply(format!("bad gzip body: {error}")))?;
-            Ok(Reply { status, body })
+            Ok(Reply { status, headers: parts.headers, body })
         };
         timeout(limit, exchange).await.unwrap_or(Err(ClientError::Timeout(limit)))
     }
--- a/crates/bw-http/src/lib.rs
+++ b/crates/bw-http/src/lib.rs
@@ -15,6 +15,7 @@
 pub use channel::Liveness;
 pub use client::Client;
 pub use client::ClientError;
+pub use client::Reply;
 pub use head_guard::BusyToken;
 pub use head_guard::HeadGuard;
 pub use reply::compressed_json_reply;
--- a/crates/bw-model/src/ids.rs
+++ b/crates/bw-model/src/ids.rs
@@ -16,11 +16,36 @@
 pub struct Incarnation(pub u64);
 
 /// Fencing number of a lease; each new holder gets a higher number.
+///
+/// The high bits are the era of the store, which rises when the store loses what it had acknowledged, so
+/// that a number lost with it is not handed out again. The low bits count the holders over all eras.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
 pub struct Fence(pub u64);
 
+/// Number of low bits of a fencing number that count the holders; sufficient for a million of them.
+const FENCE_HOLDER_BITS: u32 = 20;
+
+impl Fence {
+    /// Returns the number of the `holder`th holder, in an era of the store.
+    pub fn new(era: u64, holder: u64) -> Self {
+        Self(era << FENCE_HOLDER_BITS | holder & Self::HOLDER_MASK)
+    }
+
+    const HOLDER_MASK: u64 = (1 << FENCE_HOLDER_BITS) - 1;
+
+    /// Returns the era of the store in which the holder acquired the lease.
+    pub fn era(self) -> u64 {
+        self.0 >> FENCE_HOLDER_BITS
+    }
+
+    /// Returns the number of the holder, counted over all eras.
+    pub fn holder(self) -> u64 {
+        self.0 & Self::HOLDER_MASK
+    }
+}
+
 /// Version of the accepted configuration.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
--- a/crates/bw-platform/src/store.rs
+++ b/crates/bw-platform/src/store.rs
@@ -60,6 +60,28 @@
         self.call(purpose, self.client.get(kind, name)).await
     }
 
+    /// Reads an object, and the era of the store in which it was read.
+    ///
+    /// # Errors
+    /// As [`Store::get`].
+    pub async fn get_in_era(
+        &self,
+        purpose: Purpose,
+        kind: &str,
+        name: &str,
+    ) -> Result<(Option<Object>, u64), StoreError> {
+        self.call(purpose, self.client.get_in_era(kind, name)).await
+    }
+
+    /// Writes as [`Store::put`] does. Returns the era of the store in which the write took effect: a
+    /// revision that was read in another era may name other contents.
+    ///
+    /// # Errors
+    /// As [`Store::put`].
+    pub async fn put_in_era(&self, purpose: Purpose, object: &Object) -> Result<u64, StoreError> {
+        self.call(purpose, self.client.put_in_era(object)).await
+    }
+
     /// Reads the page of a kind's objects whose names sort after `after`.
     ///
     /// # Errors
