Order positions by the store's era, and take no older copy for the newest configuration

What could be seen after a restore of the store: an endpoint that leaves right after it goes on getting requests for good, since the watch goes on from a revision that was given out again; gateways that follow another one drop the newer list as older by number, until the revisions have caught up; keys are accepted on the proof of a copy that is older than the configuration in force; peers hand the older configuration to gateways that start.

Cause: revisions were compared and kept without the era in which they were given out.

Change: `Position` holds era and revision and is decoded once, in the adapter; lists, watches, the relay, its replies and news use it. A watch from another era fails like one whose history is gone. Entries that the copy lacks count as lapsed in an outage. A store that shows an older configuration than the one in force proves nothing, and the relay keeps the newer one.

Stores without an era are in era 0, as before.

--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -6,6 +6,7 @@
 
 use bw_member::PeerState;
 use bw_model::Fence;
+use bw_model::Position;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -112,8 +113,8 @@
     pub proof: Option<u32>,
     /// Time in milliseconds since the store last answered the sender directly.
     pub store: Option<u32>,
-    /// Revision of the last change to the endpoint list that the sender knows.
-    pub listing: u64,
+    /// Position of the last change to the endpoint list that the sender knows.
+    pub listing: Position,
     /// Fencing number of the planning duty, while the sender holds it.
     pub duty: Option<Fence>,
     /// Slow endpoints as determined by the holder of the planning duty.
--- a/crates/bw-fake/src/objects.rs
+++ b/crates/bw-fake/src/objects.rs
@@ -50,7 +50,7 @@
             matching.map(|(_, object)| object.clone()).take(PAGE_ITEMS + 1).collect();
         let more = items.len() > PAGE_ITEMS;
         items.truncate(PAGE_ITEMS);
-        Page { items, unreadable: 0, more, revision: self.revision }
+        Page { items, more, revision: self.revision, ..Page::default() }
     }
 
     /// Returns the changes of a kind after a revision, or `None` if the history that far back has
@@ -61,7 +61,8 @@
         }
         let newer = self.history.iter().filter(|(revision, _)| *revision > after);
         let events = newer.map(|(_, change)| change).filter(|change| change.object.kind == kind);
-        Some(Changes { events: events.cloned().collect(), unreadable: 0, revision: self.revision })
+        let events = events.cloned().collect();
+        Some(Changes { events, revision: self.revision, ..Changes::default() })
     }
 
     /// Discards the history, as a store may do early; watches from an older revision then fail.
--- a/crates/bw-fake/src/platform.rs
+++ b/crates/bw-fake/src/platform.rs
@@ -193,8 +193,8 @@
                 let page = self.lock().objects.list(&kind, &after);
                 Ok(json_reply(StatusCode::OK, &encode_page(&page)))
             }
-            StoreCall::Watch { kind, revision, wait } => {
-                Ok(self.watch(&kind, revision, wait).await)
+            StoreCall::Watch { kind, position, wait } => {
+                Ok(self.watch(&kind, position.revision(), wait).await)
             }
             StoreCall::Get { kind, name } => {
                 let object = self.lock().objects.get(&kind, &name).cloned();
--- a/crates/bw-gateway/src/config.rs
+++ b/crates/bw-gateway/src/config.rs
@@ -21,6 +21,9 @@
 
 struct State {
     catalog: Option<Arc<Catalog>>,
+    /// The version that the store has shown last. Lower than the one in force after the store has
+    /// returned from an older copy.
+    listed: Version,
     /// Time up to which every accepted change is known to be in force at this gateway.
     proof: Option<Duration>,
     /// A peer that has a higher version.
@@ -48,7 +51,13 @@
 
 impl Default for Config {
     fn default() -> Self {
-        let state = State { catalog: None, proof: None, ahead: None, missing: VecDeque::new() };
+        let state = State {
+            catalog: None,
+            listed: Version(0),
+            proof: None,
+            ahead: None,
+            missing: VecDeque::new(),
+        };
         Self { state: Arc::new(Mutex::new(state)), version_behind: Arc::default() }
     }
 }
@@ -64,11 +73,14 @@
         self.lock().catalog.as_ref().map_or(Version(0), |catalog| catalog.version)
     }
 
-    /// Puts a catalog into force and records its proof, if it has one. Ignores a catalog that is
-    /// older than the one in force.
+    /// Puts a catalog into force and records its proof, if the store has shown it. Ignores a catalog
+    /// that is older than the one in force.
     pub fn apply(&self, catalog: Catalog, proof: Option<Duration>) {
         let mut state = self.lock();
         let known = state.catalog.as_ref().map(|known| known.version);
+        if proof.is_some() {
+            state.listed = catalog.version;
+        }
         if known.is_some_and(|known| known > catalog.version) {
             return;
         }
@@ -97,6 +109,16 @@
         }
     }
 
+    /// Records that the store showed no change of its configuration at `time`. That proves nothing while
+    /// the store shows an older version than the one in force: it has lost accepted versions, which may
+    /// be newer than both.
+    pub fn prove_unchanged(&self, time: Duration) {
+        let listed = self.lock().listed;
+        if listed >= self.version() {
+            self.prove(listed, time);
+        }
+    }
+
     /// Returns the age of the proof that the catalog is the newest; `None` without a proof.
     pub fn proof_age(&self, now: Duration) -> Option<Duration> {
         self.lock().proof.map(|proof| now.saturating_sub(proof))
--- a/crates/bw-gateway/src/mirror.rs
+++ b/crates/bw-gateway/src/mirror.rs
@@ -6,6 +6,7 @@
 use bw_adapter::objects::Changes;
 use bw_adapter::objects::Page;
 use bw_adapter::Object;
+use bw_model::Position;
 
 /// Maximum number of removals kept for each kind.
 const REMOVED_MAX: usize = 256;
@@ -14,14 +15,14 @@
 /// earlier state and a configuration may have many of them.
 #[derive(Clone, Debug, Default)]
 struct KindState {
-    /// Objects by name, each with the revision up to which changes were known when it arrived.
-    objects: BTreeMap<String, (u64, Object)>,
-    /// Removed objects by name, with revisions as above.
-    removed: BTreeMap<String, (u64, Object)>,
-    /// Revision up to which changes are known.
-    revision: u64,
-    /// Revision up to which removals may have been discarded.
-    pruned: u64,
+    /// Objects by name, each with the position up to which changes were known when it arrived.
+    objects: BTreeMap<String, (Position, Object)>,
+    /// Removed objects by name, with positions as above.
+    removed: BTreeMap<String, (Position, Object)>,
+    /// Position up to which changes are known.
+    position: Position,
+    /// Position up to which removals may have been discarded.
+    pruned: Position,
 }
 
 /// Identifies the content of a reply to a follower; replies with equal excerpts are equal.
@@ -30,8 +31,8 @@
     kind: String,
     /// Whether the reply is a list, and not changes.
     whole: bool,
-    /// Revision up to which the reply shows changes.
-    revision: u64,
+    /// Position up to which the reply shows changes.
+    position: Position,
     /// Names and revisions of the objects in the reply.
     objects: Vec<(String, u64)>,
     /// Names and last revisions of the removed objects in the reply.
@@ -39,9 +40,9 @@
 }
 
 impl Excerpt {
-    /// Returns the revision up to which the reply shows changes.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the position up to which the reply shows changes.
+    pub fn position(&self) -> Position {
+        self.position
     }
 }
 
@@ -52,9 +53,15 @@
 }
 
 impl Mirror {
-    /// Replaces the objects of a kind by the complete list at a revision; known objects named in
+    /// Replaces the objects of a kind by the complete list at a position; known objects named in
     /// `retained` stay.
-    pub fn replace(&mut self, kind: &str, list: Vec<Object>, revision: u64, retained: &[String]) {
+    pub fn replace(
+        &mut self,
+        kind: &str,
+        list: Vec<Object>,
+        position: Position,
+        retained: &[String],
+    ) {
         let known = self.kinds.entry(kind.to_string()).or_default();
         let removed: Vec<Object> = known
             .objects
@@ -64,7 +71,7 @@
             .filter(|object| !retained.contains(&object.name))
             .cloned()
             .collect();
-        known.revision = known.revision.max(revision);
+        known.advance(position);
         for object in removed {
             known.apply(Change { object, removed: true });
         }
@@ -76,24 +83,24 @@
         }
     }
 
-    /// Applies changes up to a revision.
-    pub fn apply(&mut self, kind: &str, changes: Vec<Change>, revision: u64) {
+    /// Applies changes up to a position.
+    pub fn apply(&mut self, kind: &str, changes: Vec<Change>, position: Position) {
         let known = self.kinds.entry(kind.to_string()).or_default();
-        known.revision = known.revision.max(revision);
+        known.advance(position);
         for change in changes {
             known.apply(change);
         }
     }
 
     /// Returns what a reply to a follower contains: all objects of a kind, or its changes after a
-    /// revision. `None` as for [`Self::list`] and [`Self::changes`].
-    pub fn excerpt(&self, kind: &str, after: Option<u64>) -> Option<Excerpt> {
+    /// position. `None` as for [`Self::list`] and [`Self::changes`].
+    pub fn excerpt(&self, kind: &str, after: Option<Position>) -> Option<Excerpt> {
         let known = self.kinds.get(kind)?;
         if after.is_some_and(|after| after < known.pruned) {
             return None;
         }
-        let included = |at: u64| after.is_none_or(|after| at > after);
-        let part = |objects: &BTreeMap<String, (u64, Object)>| -> Vec<(String, u64)> {
+        let included = |at: Position| after.is_none_or(|after| at > after);
+        let part = |objects: &BTreeMap<String, (Position, Object)>| -> Vec<(String, u64)> {
             let objects = objects.values().filter(|(at, _)| included(*at));
             objects.map(|(_, object)| (object.name.clone(), object.revision)).collect()
         };
@@ -101,14 +108,14 @@
         Some(Excerpt {
             kind: kind.to_string(),
             whole: after.is_none(),
-            revision: known.revision.max(after.unwrap_or_default()),
+            position: known.position.max(after.unwrap_or_default()),
             objects: part(&known.objects),
             removed,
         })
     }
 
-    /// Returns whether a kind is known up to a revision and has no changes after it.
-    pub fn has_no_changes(&self, kind: &str, after: u64) -> bool {
+    /// Returns whether a kind is known up to a position and has no changes after it.
+    pub fn has_no_changes(&self, kind: &str, after: Position) -> bool {
         self.kinds.get(kind).is_some_and(|known| {
             let newest = known.objects.values().chain(known.removed.values());
             after >= known.pruned && newest.map(|(at, _)| *at).max().unwrap_or_default() <= after
@@ -119,31 +126,43 @@
     pub fn list(&self, kind: &str) -> Option<Page> {
         let known = self.kinds.get(kind)?;
         let items = known.objects.values().map(|(_, object)| object.clone()).collect();
-        Some(Page { items, unreadable: 0, more: false, revision: known.revision })
+        let (revision, era) = (known.position.revision(), known.position.era());
+        Some(Page { items, revision, era, ..Page::default() })
     }
 
-    /// Returns the changes of a kind after a revision; `None` when the kind has not been listed or
+    /// Returns the changes of a kind after a position; `None` when the kind has not been listed or
     /// removals since then have been discarded.
-    pub fn changes(&self, kind: &str, after: u64) -> Option<Changes> {
+    pub fn changes(&self, kind: &str, after: Position) -> Option<Changes> {
         let known = self.kinds.get(kind)?;
         if after < known.pruned {
             return None;
         }
-        let newer = |objects: &BTreeMap<String, (u64, Object)>, removed| {
+        let newer = |objects: &BTreeMap<String, (Position, Object)>, removed| {
             let newer = objects.values().filter(|(at, _)| *at > after);
             let changes = newer.map(|(_, object)| Change { object: object.clone(), removed });
             changes.collect::<Vec<Change>>()
         };
         let mut events = newer(&known.removed, true);
         events.extend(newer(&known.objects, false));
-        Some(Changes { events, unreadable: 0, revision: known.revision.max(after) })
+        let last = known.position.max(after);
+        let (revision, era) = (last.revision(), last.era());
+        Some(Changes { events, revision, era, ..Changes::default() })
     }
 }
 
 impl KindState {
+    /// Records that changes are known up to a position. Followers from an earlier era of the store list
+    /// the kind again, since they may have what the store has lost.
+    fn advance(&mut self, position: Position) {
+        if position.era() > self.position.era() {
+            self.pruned = self.pruned.max(Position::new(position.era(), 0));
+        }
+        self.position = self.position.max(position);
+    }
+
     fn apply(&mut self, change: Change) {
         let name = change.object.name.clone();
-        let entry = (self.revision, change.object);
+        let entry = (self.position, change.object);
         if change.removed {
             self.objects.remove(&name);
             self.removed.insert(name, entry);
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -21,6 +21,7 @@
 use bw_kernel::Stop;
 use bw_member::PeerState;
 use bw_model::Fence;
+use bw_model::Position;
 use bw_proto::decode;
 use bw_proto::encode;
 use log::info;
@@ -67,9 +68,9 @@
     stamps: HashMap<SocketAddr, u64>,
     /// Time at which the store last answered this gateway directly.
     store_answer: Option<Duration>,
-    /// Revision of the last change to the endpoint list, and the revision up to which all changes
+    /// Position of the last change to the endpoint list, and the position up to which all changes
     /// are known.
-    listing: (u64, u64),
+    listing: (Position, Position),
     /// A peer that reported a change to the list that is not known here.
     ahead_peer: Option<SocketAddr>,
 }
@@ -99,7 +100,7 @@
             duty: Standby::new(now),
             stamps: HashMap::new(),
             store_answer: None,
-            listing: (0, 0),
+            listing: (Position::default(), Position::default()),
             ahead_peer: None,
         };
         let stamp_base = u64::from(rand::random_range(1..u32::MAX)) << STAMP_BITS;
@@ -207,30 +208,30 @@
         self.lock().store_answer.map(|at| now.saturating_sub(at))
     }
 
-    /// Records that all changes to the endpoint list up to `revision` are known, and whether the
-    /// list changed at that revision.
-    pub fn record_listing(&self, revision: u64, changed: bool) {
+    /// Records that all changes to the endpoint list up to `position` are known, and whether the
+    /// list changed at that position.
+    pub fn record_listing(&self, position: Position, changed: bool) {
         let mut state = self.lock();
         if changed {
-            state.listing.0 = state.listing.0.max(revision);
+            state.listing.0 = state.listing.0.max(position);
         }
-        state.listing.1 = state.listing.1.max(revision);
+        state.listing.1 = state.listing.1.max(position);
         if state.ahead_peer.is_some() {
             state.ahead_peer = None;
         }
     }
 
-    /// Returns the revision up to which all changes to the endpoint list are known.
-    pub fn listing_revision(&self) -> u64 {
+    /// Returns the position up to which all changes to the endpoint list are known.
+    pub fn listing_position(&self) -> Position {
         self.lock().listing.1
     }
 
-    /// Records that a peer knows a change to the endpoint list at `revision`, and wakes
+    /// Records that a peer knows a change to the endpoint list at `position`, and wakes
     /// [`Self::newer_listing_peer`] when that change is not known here and no other such peer is
     /// recorded yet.
-    fn record_peer_listing(&self, revision: u64, peer: SocketAddr) {
+    fn record_peer_listing(&self, position: Position, peer: SocketAddr) {
         let mut state = self.lock();
-        if revision > state.listing.1 && state.ahead_peer.is_none() {
+        if position > state.listing.1 && state.ahead_peer.is_none() {
             state.ahead_peer = Some(peer);
             drop(state);
             self.listing_behind.notify_one();
--- a/crates/bw-gateway/src/relay.rs
+++ b/crates/bw-gateway/src/relay.rs
@@ -11,6 +11,7 @@
 use bw_adapter::objects::codec::encode_page;
 use bw_adapter::objects::codec::StoreCall;
 use bw_adapter::objects::codec::OBJECTS_PATH;
+use bw_adapter::objects::era::encode_era;
 use bw_adapter::objects::Change;
 use bw_adapter::Object;
 use bw_http::compress::compress;
@@ -18,6 +19,7 @@
 use bw_http::compressed_json_reply;
 use bw_http::json_reply;
 use bw_http::text_reply;
+use bw_model::Position;
 use bytes::Bytes;
 use hyper::header::ACCEPT_ENCODING;
 use log::info;
@@ -62,17 +64,17 @@
     }
 
     /// Replaces the objects of a kind by the complete list; known objects named in `retained` stay.
-    pub fn replace(&self, kind: &str, list: Vec<Object>, revision: u64, retained: &[String]) {
-        self.lock().replace(kind, list, revision, retained);
+    pub fn replace(&self, kind: &str, list: Vec<Object>, position: Position, retained: &[String]) {
+        self.lock().replace(kind, list, position, retained);
         self.changed.send_modify(|count| *count += 1);
     }
 
     /// Applies changes of a kind and wakes the watches of followers.
-    pub fn apply(&self, kind: &str, changes: Vec<Change>, revision: u64) {
+    pub fn apply(&self, kind: &str, changes: Vec<Change>, position: Position) {
         if changes.is_empty() {
             return;
         }
-        self.lock().apply(kind, changes, revision);
+        self.lock().apply(kind, changes, position);
         self.changed.send_modify(|count| *count += 1);
     }
 
@@ -97,9 +99,9 @@
                     }
                 }
             }
-            Ok(StoreCall::Watch { kind, revision, wait }) => {
-                self.wait_for_changes(&kind, revision, wait.min(WAIT_MAX)).await;
-                match self.reply(&kind, Some(revision), accepts_gzip(request)) {
+            Ok(StoreCall::Watch { kind, position, wait }) => {
+                self.wait_for_changes(&kind, position, wait.min(WAIT_MAX)).await;
+                match self.reply(&kind, Some(position), accepts_gzip(request)) {
                     Some(reply) => reply,
                     None => text_reply(StatusCode::GONE, "not known any more".to_string()),
                 }
@@ -108,9 +110,9 @@
         }
     }
 
-    /// Waits at most `wait` until a kind has changes after a revision, or until it is known that the
-    /// revision is too old.
-    async fn wait_for_changes(&self, kind: &str, after: u64, wait: Duration) {
+    /// Waits at most `wait` until a kind has changes after a position, or until it is known that the
+    /// position is too old.
+    async fn wait_for_changes(&self, kind: &str, after: Position, wait: Duration) {
         let mut changed = self.changed.subscribe();
         let change = async {
             while self.lock().has_no_changes(kind, after) {
@@ -119,19 +121,20 @@
                 }
             }
         };
-        // Without a change, the reply tells the follower the revision up to which there is none.
+        // Without a change, the reply tells the follower the position up to which there is none.
         let _elapsed = timeout(wait, change).await;
     }
 
     /// Returns a reply with all objects of a kind, or with its changes after a revision; `None` as for
     /// the mirror.
-    fn reply(&self, kind: &str, after: Option<u64>, gzip: bool) -> Option<Response> {
+    fn reply(&self, kind: &str, after: Option<Position>, gzip: bool) -> Option<Response> {
         let mirror = self.lock();
         let excerpt = mirror.excerpt(kind, after)?;
+        let era = excerpt.position().era();
         if gzip {
             if let Some(known) = self.compressed().as_ref().filter(|known| known.excerpt == excerpt)
             {
-                return Some(compressed_json_reply(known.body.clone()));
+                return Some(in_era(compressed_json_reply(known.body.clone()), era));
             }
         }
         let body = match after {
@@ -140,22 +143,22 @@
         };
         let text = body.to_string();
         if !gzip || text.len() < COMPRESSED_MIN {
-            return Some(json_reply(StatusCode::OK, &body));
+            return Some(in_era(json_reply(StatusCode::OK, &body), era));
         }
         match compress(text.as_bytes()) {
             Ok(body) => {
                 info!(
-                    "event=reply_compressed kind={kind} revision={} bytes={} sent_bytes={}",
-                    excerpt.revision(),
+                    "event=reply_compressed kind={kind} position={} bytes={} sent_bytes={}",
+                    excerpt.position(),
                     text.len(),
                     body.len()
                 );
                 *self.compressed() = Some(CompressedReply { excerpt, body: body.clone() });
-                Some(compressed_json_reply(body))
+                Some(in_era(compressed_json_reply(body), era))
             }
             Err(error) => {
                 warn!("event=reply_uncompressed kind={kind} reason=\"{error}\"");
-                Some(json_reply(StatusCode::OK, &body))
+                Some(in_era(json_reply(StatusCode::OK, &body), era))
             }
         }
     }
@@ -169,6 +172,13 @@
     }
 }
 
+/// Adds the era of the store from which the reply's contents are.
+fn in_era(mut response: Response, era: u64) -> Response {
+    let (name, value) = encode_era(era);
+    response.headers_mut().insert(name, value);
+    response
+}
+
 fn accepts_gzip(request: &Request) -> bool {
     let accepted = request.headers().get(ACCEPT_ENCODING);
     accepted.is_some_and(|value| value.as_bytes() == GZIP.as_bytes())
--- a/crates/bw-gateway/src/sync/config.rs
+++ b/crates/bw-gateway/src/sync/config.rs
@@ -10,6 +10,7 @@
 use bw_adapter::Object;
 use bw_direct::Catalog;
 use bw_kernel::Stop;
+use bw_model::Position;
 use bw_platform::StoreError;
 use log::info;
 use log::warn;
@@ -34,18 +35,18 @@
 
     async fn config_loop(&self) {
         let mut upstream = Upstream::new("configuration", &self.store);
-        let mut revision = None;
+        let mut position = None;
         loop {
             self.choose_source(&mut upstream);
-            let result = match revision {
+            let result = match position {
                 None => self.with_peer_updates(self.list_config(&upstream)).await,
-                Some(revision) => {
-                    self.with_peer_updates(self.watch_config(&upstream, revision)).await
+                Some(position) => {
+                    self.with_peer_updates(self.watch_config(&upstream, position)).await
                 }
             };
             self.record_result(&mut upstream, &result);
-            revision = match result {
-                Ok(outcome) => Some(outcome.revision()),
+            position = match result {
+                Ok(outcome) => Some(outcome.position()),
                 Err(StoreError::HistoryGone) => None,
                 Err(_) => {
                     self.with_peer_updates(self.back_off(&upstream)).await;
@@ -77,54 +78,53 @@
 
     async fn list_config(&self, upstream: &Upstream) -> Result<PollOutcome, StoreError> {
         let sent_at = self.clock.now();
-        let (list, revision) = upstream.feed.list(catalog::KIND).await?;
+        let (list, position) = upstream.feed.list(catalog::KIND).await?;
         let proof = upstream.feed.is_store().then_some(sent_at);
-        for object in &list {
-            self.apply_config(object, proof);
-        }
-        self.relay.replace(catalog::KIND, list, revision, &[]);
-        Ok(PollOutcome::Answered(revision))
+        let list = self.apply_configs(list, proof);
+        // Peers go on getting a configuration that the store has lost.
+        let retained = [catalog::NAME.to_string()];
+        self.relay.replace(catalog::KIND, list, position, &retained);
+        Ok(PollOutcome::Answered(position))
     }
 
     /// Waits for a change, or until another source has to be used.
     async fn watch_config(
         &self,
         upstream: &Upstream,
-        revision: u64,
+        position: Position,
     ) -> Result<PollOutcome, StoreError> {
         let sent_at = self.clock.now();
-        let version = self.config.version();
         let wait = self.watch_wait(upstream);
         let changes = tokio::select! {
-            changes = upstream.feed.watch(catalog::KIND, revision, wait) => changes?,
-            // The revision is also valid at another source, which returns only later changes.
-            () = self.source_changed(upstream) => return Ok(PollOutcome::Unanswered(revision)),
+            changes = upstream.feed.watch(catalog::KIND, position, wait) => changes?,
+            // The position is also valid at another source, which returns only later changes.
+            () = self.source_changed(upstream) => return Ok(PollOutcome::Unanswered(position)),
         };
         let proof = upstream.feed.is_store().then_some(sent_at);
         if let (Some(proof), true) = (proof, changes.events.is_empty() && changes.unreadable == 0) {
-            self.config.prove(version, proof);
-        }
-        for change in &changes.events {
-            self.apply_config(&change.object, proof);
+            self.config.prove_unchanged(proof);
         }
-        self.relay.apply(catalog::KIND, changes.events, changes.revision);
-        Ok(PollOutcome::Answered(changes.revision))
+        let next = changes.position();
+        let objects = changes.events.into_iter().map(|change| change.object).collect();
+        let current = self.apply_configs(objects, proof).into_iter();
+        let current = current.map(|object| Change { object, removed: false });
+        self.relay.apply(catalog::KIND, current.collect(), next);
+        Ok(PollOutcome::Answered(next))
     }
 
     /// Fetches a newer version from a peer that has announced one.
     async fn fetch_config(&self, peer: SocketAddr) {
         let started_at = self.clock.now();
         match Feed::peer(peer).list(catalog::KIND).await {
-            Ok((list, _)) => {
+            Ok((list, position)) => {
                 let took = self.clock.now().saturating_sub(started_at);
                 info!("event=configuration_fetched peer={peer} took_ms={}", took.as_millis());
-                for object in list {
-                    self.apply_config(&object, None);
-                    let revision = object.revision;
+                for object in self.apply_configs(list, None) {
+                    let changed_at = Position::new(position.era(), object.revision);
                     self.relay.apply(
                         catalog::KIND,
                         vec![Change { object, removed: false }],
-                        revision,
+                        changed_at,
                     );
                 }
             }
@@ -133,9 +133,16 @@
         }
     }
 
-    fn apply_config(&self, object: &Object, proof: Option<Duration>) {
+    /// Applies the configuration among `objects`, and returns the objects that peers may have: not a
+    /// configuration that is older than the one in force, as a restored store shows it.
+    fn apply_configs(&self, objects: Vec<Object>, proof: Option<Duration>) -> Vec<Object> {
+        objects.into_iter().filter(|object| self.apply_config(object, proof)).collect()
+    }
+
+    /// Applies an object if it is the configuration. Returns whether it is not an older one.
+    fn apply_config(&self, object: &Object, proof: Option<Duration>) -> bool {
         if object.name != catalog::NAME {
-            return;
+            return true;
         }
         let started_at = self.clock.now();
         let draft = catalog::decode_config(object).map_err(|error| error.to_string());
@@ -150,9 +157,14 @@
             took.as_millis()
         );
         match checked {
-            Ok(catalog) => self.config.apply(catalog, proof),
+            Ok(catalog) => {
+                let version = catalog.version;
+                self.config.apply(catalog, proof);
+                version >= self.config.version()
+            }
             Err(reason) => {
                 warn!("event=configuration_unreadable revision={} {reason}", object.revision);
+                false
             }
         }
     }
--- a/crates/bw-gateway/src/sync/endpoints.rs
+++ b/crates/bw-gateway/src/sync/endpoints.rs
@@ -11,7 +11,9 @@
 use bw_direct::endpoint::EndpointChange;
 use bw_direct::endpoint::LAPSE_GRACE;
 use bw_kernel::Stop;
+use bw_model::Position;
 use bw_platform::StoreError;
+use log::info;
 use log::warn;
 
 use super::source::Feed;
@@ -37,22 +39,22 @@
 
     async fn endpoints_loop(&self) {
         let mut upstream = Upstream::new("endpoints", &self.store);
-        let mut revision = None;
+        let mut position = None;
         loop {
             self.choose_source(&mut upstream);
-            let result = match revision {
+            let result = match position {
                 None => self.list_endpoints(&upstream.feed).await.map(PollOutcome::Answered),
-                Some(revision) => self.watch_endpoints(&upstream, revision).await,
+                Some(position) => self.watch_endpoints(&upstream, position).await,
             };
             self.record_result(&mut upstream, &result);
-            revision = match result {
+            position = match result {
                 // Lapsed entries that have not returned within the grace period are removed; the
                 // complete list shows which ones.
                 Ok(_) if self.endpoints.has_overdue_lapse(self.clock.now()) => None,
-                Ok(outcome) => Some(outcome.revision()),
+                Ok(outcome) => Some(outcome.position()),
                 Err(StoreError::HistoryGone) => None,
                 Err(_) => {
-                    self.back_off_with_peer_updates(&upstream, revision).await;
+                    self.back_off_with_peer_updates(&upstream, position).await;
                     None
                 }
             };
@@ -60,8 +62,8 @@
     }
 
     /// Waits to retry a failed call, and meanwhile fetches changes from peers that know them.
-    async fn back_off_with_peer_updates(&self, upstream: &Upstream, revision: Option<u64>) {
-        let mut revision = revision;
+    async fn back_off_with_peer_updates(&self, upstream: &Upstream, known: Option<Position>) {
+        let mut position = known;
         let mut back_off = pin!(self.back_off(upstream));
         loop {
             let peer = tokio::select! {
@@ -69,13 +71,13 @@
                 peer = self.peers.newer_listing_peer() => peer,
             };
             let feed = Feed::peer(peer);
-            let result = match revision {
+            let result = match position {
                 None => self.list_endpoints(&feed).await,
                 Some(known) => self.fetch_changes(&feed, known).await,
             };
             match result {
-                Ok(next) => revision = Some(next),
-                Err(StoreError::HistoryGone) => revision = None,
+                Ok(next) => position = Some(next),
+                Err(StoreError::HistoryGone) => position = None,
                 // The peer's next news triggers another attempt.
                 Err(error) => warn!("event=endpoints_unfetched peer={peer} reason=\"{error}\""),
             }
@@ -83,9 +85,9 @@
     }
 
     /// Fetches and applies the changes that a peer already knows.
-    async fn fetch_changes(&self, feed: &Feed, revision: u64) -> Result<u64, StoreError> {
-        let changes = feed.watch(listing::KIND, revision, Duration::ZERO).await?;
-        let (next, changed) = (changes.revision, !changes.events.is_empty());
+    async fn fetch_changes(&self, feed: &Feed, known: Position) -> Result<Position, StoreError> {
+        let changes = feed.watch(listing::KIND, known, Duration::ZERO).await?;
+        let (next, changed) = (changes.position(), !changes.events.is_empty());
         self.apply_changes(false, changes.events, next);
         self.peers.record_listing(next, changed);
         Ok(next)
@@ -96,22 +98,26 @@
     async fn watch_endpoints(
         &self,
         upstream: &Upstream,
-        revision: u64,
+        position: Position,
     ) -> Result<PollOutcome, StoreError> {
         let wait = self.next_watch_wait(upstream);
         let changes = tokio::select! {
-            changes = upstream.feed.watch(listing::KIND, revision, wait) => changes?,
+            changes = upstream.feed.watch(listing::KIND, position, wait) => changes?,
             peer = self.peers.newer_listing_peer() => {
-                let known = self.fetch_changes(&Feed::peer(peer), revision).await;
-                return Ok(PollOutcome::Unanswered(known.unwrap_or_else(|error| {
-                    // The peer's next news triggers another attempt.
-                    warn!("event=endpoints_unfetched peer={peer} reason=\"{error}\"");
-                    revision
-                })));
+                let known = self.fetch_changes(&Feed::peer(peer), position).await;
+                return match known {
+                    Ok(known) => Ok(PollOutcome::Unanswered(known)),
+                    Err(StoreError::HistoryGone) => Err(StoreError::HistoryGone),
+                    Err(error) => {
+                        // The peer's next news triggers another attempt.
+                        warn!("event=endpoints_unfetched peer={peer} reason=\"{error}\"");
+                        Ok(PollOutcome::Unanswered(position))
+                    }
+                };
             }
-            () = self.source_changed(upstream) => return Ok(PollOutcome::Unanswered(revision)),
+            () = self.source_changed(upstream) => return Ok(PollOutcome::Unanswered(position)),
         };
-        let (next, changed) = (changes.revision, !changes.events.is_empty());
+        let (next, changed) = (changes.position(), !changes.events.is_empty());
         self.apply_changes(upstream.feed.is_store(), changes.events, next);
         self.peers.record_listing(next, changed);
         if changed {
@@ -132,21 +138,28 @@
         }
     }
 
-    async fn list_endpoints(&self, feed: &Feed) -> Result<u64, StoreError> {
-        let (list, revision) = feed.list(listing::KIND).await?;
-        if !feed.is_store() && revision < self.peers.listing_revision() {
-            return Err(StoreError::Unavailable("the peer's list is older".to_string()));
+    async fn list_endpoints(&self, feed: &Feed) -> Result<Position, StoreError> {
+        let (list, position) = feed.list(listing::KIND).await?;
+        let known = self.peers.listing_position();
+        if position < known && !(feed.is_store() && position.era() == known.era()) {
+            return Err(StoreError::Unavailable("the list is older".to_string()));
         }
         let decoded = list.iter().filter_map(decode_entry).collect();
         let now = self.clock.now();
+        let is_first = known == Position::default();
+        if position.era() > known.era() && !is_first {
+            info!("event=store_restored position={position} known={known}");
+            // Entries that are missing from the older copy return if their endpoints live.
+            self.endpoints.mark_source_down();
+        }
         self.endpoints.mark_source_up(now);
         self.endpoints.replace(decoded, now);
-        self.relay.replace(listing::KIND, list, revision, &self.endpoints.lapsed());
-        self.peers.record_listing(revision, true);
-        Ok(revision)
+        self.relay.replace(listing::KIND, list, position, &self.endpoints.lapsed());
+        self.peers.record_listing(position, true);
+        Ok(position)
     }
 
-    fn apply_changes(&self, from_store: bool, changes: Vec<Change>, revision: u64) {
+    fn apply_changes(&self, from_store: bool, changes: Vec<Change>, position: Position) {
         let now = self.clock.now();
         if from_store {
             self.endpoints.mark_source_up(now);
@@ -166,7 +179,7 @@
                 relayed.push(change);
             }
         }
-        self.relay.apply(listing::KIND, relayed, revision);
+        self.relay.apply(listing::KIND, relayed, position);
     }
 }
 
--- a/crates/bw-gateway/src/sync/mod.rs
+++ b/crates/bw-gateway/src/sync/mod.rs
@@ -12,6 +12,7 @@
 use bw_direct::relay::pick_source;
 use bw_direct::relay::Source;
 use bw_kernel::BootClock;
+use bw_model::Position;
 use bw_platform::Store;
 use bw_platform::StoreError;
 use log::info;
@@ -79,16 +80,16 @@
 /// Result of one list or watch call while following a source.
 #[derive(Clone, Copy)]
 enum PollOutcome {
-    /// The source answered; changes are known up to this revision.
-    Answered(u64),
-    /// The source has not answered yet; changes are known up to this revision from elsewhere.
-    Unanswered(u64),
+    /// The source answered; changes are known up to this position.
+    Answered(Position),
+    /// The source has not answered yet; changes are known up to this position from elsewhere.
+    Unanswered(Position),
 }
 
 impl PollOutcome {
-    fn revision(self) -> u64 {
+    fn position(self) -> Position {
         match self {
-            Self::Answered(revision) | Self::Unanswered(revision) => revision,
+            Self::Answered(position) | Self::Unanswered(position) => position,
         }
     }
 }
--- a/crates/bw-gateway/src/sync/source.rs
+++ b/crates/bw-gateway/src/sync/source.rs
@@ -6,6 +6,7 @@
 use bw_adapter::objects::Changes;
 use bw_adapter::Object;
 use bw_adapter::ObjectClient;
+use bw_model::Position;
 use bw_platform::Store;
 use bw_platform::StoreError;
 
@@ -24,21 +25,22 @@
         Self::Peer(ObjectClient::of_peer(&format!("http://{address}")))
     }
 
-    /// Reads all objects of a kind, and the revision after which to watch.
+    /// Reads all objects of a kind, and the position after which to watch.
     ///
     /// # Errors
     /// [`StoreError`] when the source cannot be reached or rejects the call.
-    pub async fn list(&self, kind: &str) -> Result<(Vec<Object>, u64), StoreError> {
+    pub async fn list(&self, kind: &str) -> Result<(Vec<Object>, Position), StoreError> {
         match self {
             Self::Store(store) => store.list_all(kind).await,
             Self::Peer(peer) => {
                 let page = peer.list(kind, "").await?;
-                Ok((page.items, page.revision))
+                let position = page.position();
+                Ok((page.items, position))
             }
         }
     }
 
-    /// Waits up to `wait` for changes of a kind after `revision`.
+    /// Waits up to `wait` for changes of a kind after `position`.
     ///
     /// # Errors
     /// [`StoreError::HistoryGone`] when the kind has to be listed again; other [`StoreError`]s as
@@ -46,12 +48,12 @@
     pub async fn watch(
         &self,
         kind: &str,
-        revision: u64,
+        position: Position,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
         match self {
-            Self::Store(store) => store.watch_kind(kind, revision, wait).await,
-            Self::Peer(peer) => Ok(peer.watch(kind, revision, wait).await?),
+            Self::Store(store) => store.watch_kind(kind, position, wait).await,
+            Self::Peer(peer) => Ok(peer.watch(kind, position, wait).await?),
         }
     }
 
--- a/crates/bw-gateway/tests/common/mod.rs
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -33,6 +33,7 @@
 use bw_kernel::Stop;
 use bw_member::PeerState;
 use bw_model::Incarnation;
+use bw_model::Position;
 use bw_model::Version;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -310,7 +311,7 @@
         ready: true,
         proof: None,
         store: None,
-        listing: 0,
+        listing: Position::default(),
         duty: None,
         paces: Vec::new(),
         works: Vec::new(),
--- a/crates/bw-gateway/tests/restore.rs
+++ b/crates/bw-gateway/tests/restore.rs
@@ -14,10 +14,13 @@
 use bw_duty::Lease;
 use bw_fake::endpoint::Behaviour;
 use bw_fake::objects::Objects;
+use bw_fake::platform::Faults;
 use bw_model::Fence;
 use common::draft;
 use common::listing;
+use common::news;
 use common::Rig;
+use tokio::net::UdpSocket;
 
 fn ok_answer() -> Behaviour {
     Behaviour::Answer(200, "fine".to_string())
@@ -144,3 +147,54 @@
     rig.wait_status("/new/1", 200).await;
     rig.stop().await;
 }
+
+/// The copy is older than the endpoint's entry, which the endpoint writes again if it lives.
+#[tokio::test]
+async fn endpoints_that_a_restored_store_does_not_list_yet_stay_usable() {
+    let rig = Rig::start(&[ok_answer()]).await;
+    let mut snapshot = rig.platform.snapshot();
+    let entry = listing_object(&listing(&rig.endpoints[0]));
+    snapshot.remove(&entry.kind, &entry.name).unwrap();
+    rig.platform.restore(snapshot);
+    // The gateway lists the endpoints again after its watch has failed.
+    for _ in 0..10 {
+        assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    rig.platform.change(|objects| objects.create(entry)).unwrap();
+    tokio::time::sleep(rig.settings.drain * 2).await;
+    assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+    rig.stop().await;
+}
+
+/// A gateway that starts between the restore and the operator's next write gets the newer configuration
+/// from a peer that has it in force.
+#[tokio::test]
+async fn a_peer_keeps_the_configuration_that_a_restored_store_has_lost() {
+    let first = Rig::start(&[ok_answer()]).await;
+    let snapshot = first.platform.snapshot();
+    let mut newer = draft(9);
+    let route = common::route("new", bw_direct::catalog::RouteKind::Safe);
+    newer.routes.push(bw_direct::catalog::Route { public: true, ..route });
+    first.configure(&newer);
+    first.wait_status("/new/1", 200).await;
+    first.platform.restore(snapshot);
+    // The gateway lists the configuration again.
+    tokio::time::sleep(first.settings.apply).await;
+    let faults = Faults { down: true, ..Faults::default() };
+    let second = first.start_with_faults("gateway-2", faults).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let learned = async {
+        for seq in 1.. {
+            let news = news("gateway-1", "a", first.settings.news, 9, seq);
+            second.send_news(&socket, &news).await;
+            if second.call("GET", "/new/1", "").await.status == 200 {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), learned).await.unwrap();
+    second.stop().await;
+    first.stop().await;
+}
--- a/crates/bw-model/src/ids.rs
+++ b/crates/bw-model/src/ids.rs
@@ -46,6 +46,43 @@
     }
 }
 
+/// Place in the changes of the store: its era and, within the era, the revision.
+///
+/// A store that returns from an older copy of itself starts a new era and gives the revisions after that
+/// copy out again, so that a revision alone neither orders nor identifies anything.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Position(u64);
+
+/// Number of low bits of a position that hold the revision.
+const REVISION_BITS: u32 = 48;
+
+impl Position {
+    const REVISION_MASK: u64 = (1 << REVISION_BITS) - 1;
+
+    /// Returns the position of a revision in an era.
+    pub fn new(era: u64, revision: u64) -> Self {
+        Self(era << REVISION_BITS | revision & Self::REVISION_MASK)
+    }
+
+    /// Returns the era of the store.
+    pub fn era(self) -> u64 {
+        self.0 >> REVISION_BITS
+    }
+
+    /// Returns the revision within the era.
+    pub fn revision(self) -> u64 {
+        self.0 & Self::REVISION_MASK
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era(), self.revision())
+    }
+}
+
 /// Version of the accepted configuration.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
--- a/crates/bw-model/src/lib.rs
+++ b/crates/bw-model/src/lib.rs
@@ -16,6 +16,7 @@
 pub use ids::Incarnation;
 pub use ids::KeyHash;
 pub use ids::MapVersion;
+pub use ids::Position;
 pub use ids::Version;
 pub use name::Name;
 pub use name::NameError;
--- a/crates/bw-platform/src/store.rs
+++ b/crates/bw-platform/src/store.rs
@@ -12,6 +12,7 @@
 use bw_adapter::ObjectError;
 use bw_kernel::KernelError;
 use bw_kernel::Metrics;
+use bw_model::Position;
 use prometheus::IntCounterVec;
 use tokio::time::Instant;
 
@@ -90,21 +91,25 @@
         self.call(Purpose::Read, self.client.list(kind, after)).await
     }
 
-    /// Reads all objects of a kind. The returned revision is that of the first page, so that a
+    /// Reads all objects of a kind. The returned position is that of the first page, so that a
     /// watch from it includes changes made between the reads of the pages.
     ///
     /// # Errors
     /// Any [`StoreError`] of a page.
-    pub async fn list_all(&self, kind: &str) -> Result<(Vec<Object>, u64), StoreError> {
+    /// [`StoreError::HistoryGone`] when the store was restored between two pages.
+    pub async fn list_all(&self, kind: &str) -> Result<(Vec<Object>, Position), StoreError> {
         let mut page = self.list(kind, "").await?;
-        let revision = page.revision;
+        let position = page.position();
         let mut list = std::mem::take(&mut page.items);
         while page.more {
             let Some(last) = list.last().map(|object| object.name.clone()) else { break };
             page = self.list(kind, &last).await?;
+            if page.era != position.era() {
+                return Err(StoreError::HistoryGone);
+            }
             list.append(&mut page.items);
         }
-        Ok((list, revision))
+        Ok((list, position))
     }
 
     /// Creates an object that must not exist yet.
@@ -144,18 +149,18 @@
         self.call(purpose, self.client.remove(kind, name)).await
     }
 
-    /// Waits up to `wait` for changes of a kind after `revision`.
+    /// Waits up to `wait` for changes of a kind after `position`.
     ///
     /// # Errors
-    /// [`StoreError::HistoryGone`] when the changes after `revision` are no longer kept and the
-    /// kind must be listed again; any other [`StoreError`].
+    /// [`StoreError::HistoryGone`] when the changes after `position` are no longer kept, or the store is
+    /// in another era, and the kind must be listed again; any other [`StoreError`].
     pub async fn watch_kind(
         &self,
         kind: &str,
-        revision: u64,
+        position: Position,
         wait: Duration,
     ) -> Result<Changes, StoreError> {
-        self.call(Purpose::Watch, self.client.watch(kind, revision, wait)).await
+        self.call(Purpose::Watch, self.client.watch(kind, position, wait)).await
     }
 
     /// Waits for a change of one object after `revision`; `None` when `wait` ends first.
@@ -175,7 +180,8 @@
         let mut after = revision;
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
-            let changes = match self.watch_kind(kind, after, remaining).await {
+            let watch = self.client.watch_revision(kind, Position::new(0, after), remaining);
+            let changes = match self.call(Purpose::Watch, watch).await {
                 Err(StoreError::HistoryGone) => {
                     let object = self.get(Purpose::Read, kind, name).await?;
                     return Ok(object.filter(|object| object.revision > revision));
