Bound the crashes that are kept for each prompt part

Found on reading the change again: a part that is never answered, such as one of all prompts during a long outage, kept the ids of all its crashes. Test: 500 crashes, the last ones count. The record of a crash is also written without a lookup that cannot fail.

--- a/crates/bw-gateway/src/web.rs
+++ b/crates/bw-gateway/src/web.rs
@@ -47,8 +47,8 @@
 }
 
 impl Readiness {
-    /// Returns whether callers should be sent to this gateway: its configuration is
-    /// current, it knows endpoints, and it is not leaving.
+    /// Returns whether callers should be sent to this gateway: its configuration is current, it knows
+    /// endpoints, and it is not leaving.
     pub fn is_ready(&self) -> bool {
         self.config.is_current(&self.settings, self.clock.now())
             && !self.endpoints.is_empty()
--- a/crates/bw-once/src/parts.rs
+++ b/crates/bw-once/src/parts.rs
@@ -115,23 +115,15 @@
 
     /// Records that a request was in flight at a crash. Returns whether that was not known.
     pub fn record_crash(&mut self, crashed: &CrashedRequest, now: Duration) -> bool {
-        let known = self.crashes.iter_mut().find(|crash| crash.id == crashed.crash);
-        let crash = match known {
-            Some(crash) => crash,
+        match self.crashes.iter_mut().find(|crash| crash.id == crashed.crash) {
+            Some(crash) if crash.requests.contains(&crashed.request) => return false,
+            Some(crash) => crash.requests.push(crashed.request),
             None => {
-                if self.crashes.len() >= CRASHES_MAX {
-                    self.crashes.pop_front();
-                }
-                let requests = SmallVec::new();
+                let requests = [crashed.request].into_iter().collect();
                 self.crashes.push_back(Crash { id: crashed.crash, at: now, requests });
-                let Some(crash) = self.crashes.back_mut() else { return false };
-                crash
+                self.drop_oldest_crashes();
             }
-        };
-        if crash.requests.contains(&crashed.request) {
-            return false;
         }
-        crash.requests.push(crashed.request);
         for part in &crashed.parts {
             let suspect = self.suspects.entry(*part).or_default();
             if !suspect.crashes.contains(&crashed.crash) {
@@ -297,6 +289,15 @@
         self.suspects.get(&part).is_some_and(|suspect| suspect.crashes.contains(&crash))
     }
 
+    fn drop_oldest_crashes(&mut self) {
+        while self.crashes.len() > CRASHES_MAX {
+            let Some(oldest) = self.crashes.pop_front() else { return };
+            for suspect in self.suspects.values_mut() {
+                suspect.crashes.retain(|id| *id != oldest.id);
+            }
+        }
+    }
+
     fn drop_oldest_suspects(&mut self) {
         while self.suspects.len() > SUSPECTS_MAX {
             let oldest = self.suspects.keys().min_by_key(|part| self.last_crash(**part)).copied();
--- a/crates/bw-once/tests/parts.rs
+++ b/crates/bw-once/tests/parts.rs
@@ -238,3 +238,15 @@
     arrive(&mut evidence, 1, 20);
     assert!(evidence.quarantine_new(&[1], seconds(50.0)).is_empty());
 }
+
+/// The record stays bounded while a part that is never answered is in flight at each crash.
+#[test]
+fn only_the_latest_crashes_count() {
+    let mut evidence = PartEvidence::new();
+    for id in 1..=500 {
+        crash(&mut evidence, id, seconds(5.0) * id as u32, &[&[1]]);
+    }
+    arrive(&mut evidence, 1, 20);
+    assert_eq!(evidence.quarantine_new(&[1], seconds(2_500.0)).quarantined.as_slice(), [1]);
+    assert!(evidence.next_expiry().is_some_and(|end| end > seconds(2_500.0)));
+}
