--- a/crates/bw-gateway/src/sync/config.rs
+++ b/crates/bw-gateway/src/sync/config.rs
@@ -150,7 +150,8 @@
             draft.and_then(|draft| Catalog::try_from(draft).map_err(|error| error.to_string()));
         let took = self.clock.now().saturating_sub(started_at);
         info!(
-            "event=configuration_read revision={} routes={} proof_ms={} took_ms={}",
+            "event=configuration_read version={} revision={} routes={} proof_ms={} took_ms={}",
+            checked.as_ref().map_or(0, |catalog| catalog.version.0),
             object.revision,
             checked.as_ref().map_or(0, |catalog| catalog.routes.len()),
             proof.map_or(-1, |sent| started_at.saturating_sub(sent).as_millis() as i64),
