Say more plainly why a fencing number is unique over restores

Comments only. The reason in `next_fence` took several readings; the stand-in's arm now names what replaces it. No behaviour changes; format and linter pass.

--- a/crates/bw-duty/src/standby.rs
+++ b/crates/bw-duty/src/standby.rs
@@ -97,9 +97,9 @@
     /// Returns the fencing number for this process to acquire the duty with, given the one in the lease
     /// and the era of the store in which the lease was read.
     ///
-    /// Unique if the lease is written conditionally in the same era: the store has lost the numbers that
-    /// it handed out in later eras than the lease's only by starting a new one. The holder count also
-    /// exceeds that of all holders known here, since it selects the rank for holds.
+    /// The number is unique if the lease is then written in the same era, on the condition that it has
+    /// not changed: within an era the store loses nothing, and numbers that it lost before have a lower
+    /// era. The holder count also exceeds all that are known here, since it selects the rank for holds.
     pub fn next_fence(&self, lease: Fence, era: u64) -> Fence {
         let holder = lease.holder().max(self.holders) + 1;
         Fence::new(era.max(lease.era()), holder)
--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -238,7 +238,7 @@
                 return Ok(true);
             }
             Behaviour::Reset => stream.set_zero_linger()?,
-            // Replaced before it gets here.
+            // `serve` has replaced it by a crash or a stream.
             Behaviour::CrashOnPart(_) => {}
             Behaviour::Crash => {
                 stream.set_zero_linger()?;
