--- a/crates/bw-direct/src/budget.rs
+++ b/crates/bw-direct/src/budget.rs
@@ -46,6 +46,15 @@
     }
 }
 
+/// Retries of one gateway in the window, and their limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUse {
+    /// Retries spent.
+    pub spent: u32,
+    /// Retries that may be spent.
+    pub limit: f64,
+}
+
 /// Retry budgets of one gateway, by service.
 #[derive(Clone, Debug, Default)]
 pub struct RetryBudget {
@@ -67,19 +76,33 @@
         gateways: usize,
         now: Duration,
     ) -> bool {
-        let Allowance { ratio, slack, window: length } = allowance;
-        self.bucket(service, length, now);
-        let Some(window) = self.services.get(service) else { return false };
-        let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
-        let own = MARGIN * (ratio * f64::from(requests) + slack / gateways.max(1) as f64);
-        if f64::from(retries + 1) > own {
+        let BudgetUse { spent, limit } = self.current(service, allowance, gateways, now);
+        if f64::from(spent + 1) > limit {
             return false;
         }
-        self.bucket(service, length, now).retries += 1;
+        self.bucket(service, allowance.window, now).retries += 1;
         true
     }
 
+    /// Returns what is spent and the limit for this gateway, one of `gateways`.
+    pub fn current(
+        &mut self,
+        service: &str,
+        allowance: Allowance,
+        gateways: usize,
+        now: Duration,
+    ) -> BudgetUse {
+        let Allowance { ratio, slack, window: length } = allowance;
+        self.bucket(service, length, now);
+        let Some(window) = self.services.get(service) else {
+            return BudgetUse { spent: 0, limit: 0.0 };
+        };
+        let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
+        let spent: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
+        let limit = MARGIN * (ratio * f64::from(requests) + slack / gateways.max(1) as f64);
+        BudgetUse { spent, limit }
+    }
+
     fn bucket(&mut self, service: &str, window: Duration, now: Duration) -> &mut Counts {
         let length = window / (BUCKETS as u32 - 1);
         let window = self.services.entry(service.to_string()).or_default();
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -16,6 +16,7 @@
 use bw_direct::attempts::Decision;
 use bw_direct::attempts::SendEnd;
 use bw_direct::budget::Allowance;
+use bw_direct::budget::BudgetUse;
 use bw_direct::budget::RetryBudget;
 use bw_direct::catalog::pick_target;
 use bw_direct::request::CallerHead;
@@ -335,7 +336,7 @@
                 job.attempts.give_up(end)
             }
             // A send spends the retry budget only if an earlier send reached an endpoint.
-            Decision::Retry if is_retry && !self.try_spend_retry(&job.service, now) => {
+            Decision::Retry if is_retry && !self.try_spend_retry(job, now) => {
                 job.append_trace("no_budget");
                 job.attempts.give_up(end)
             }
@@ -364,12 +365,20 @@
         self.suspects.is_quarantined(job.fingerprint, &job.head.shared_parts())
     }
 
-    fn try_spend_retry(&self, service: &str, now: Duration) -> bool {
+    fn try_spend_retry(&self, job: &mut Job, now: Duration) -> bool {
         let settings = self.settings.get();
         let (ratio, slack) = (settings.retry_ratio, settings.retry_slack);
         let allowance = Allowance { ratio, slack, window: settings.retry_window };
         let gateways = self.peers.live_count(now);
-        self.lock_budget().try_spend(service, allowance, gateways, now)
+        let mut budget = self.lock_budget();
+        let BudgetUse { spent, limit } = budget.current(&job.service, allowance, gateways, now);
+        let granted = budget.try_spend(&job.service, allowance, gateways, now);
+        drop(budget);
+        job.append_trace(&format!(
+            "retry:granted={granted}:spent={spent}:limit={limit:.1}:gateways={gateways}:life_ms={}",
+            now.as_millis()
+        ));
+        granted
     }
 
     fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
