--- a/crates/bw-direct/tests/budget.rs
+++ b/crates/bw-direct/tests/budget.rs
@@ -7,6 +7,9 @@
 use bw_direct::budget::Allowance;
 use bw_direct::budget::RetryBudget;
 use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::Rng;
+use rand::SeedableRng;
 
 const ALLOWANCE: Allowance = Allowance { ratio: 0.2, slack: 90.0, window: Duration::from_secs(10) };
 
@@ -81,3 +84,34 @@
         }
     }
 }
+
+/// Retries wait in a queue for up to 8 s before they are sent, in steps of the load that fail at all
+/// endpoints.
+#[test]
+fn retries_that_wait_arrive_within_the_budget() {
+    const WAIT_MAX: u64 = 8_000;
+    for seed in 0..20 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut budget = RetryBudget::default();
+        let (mut arrivals, mut requests) = (Vec::new(), Vec::new());
+        // Endpoints stand still at each multiple of 8 s, when all that wait are sent.
+        for now in (0..60_000).step_by(25) {
+            let at = Duration::from_millis(now);
+            budget.record_request("s", ALLOWANCE.window, at);
+            requests.push(now);
+            if random.random_bool(0.9) && budget.try_spend("s", ALLOWANCE, 1, at) {
+                arrivals.push(now.next_multiple_of(WAIT_MAX));
+            }
+        }
+        for start in (0..60_000).step_by(500) {
+            let within = |times: &[u64], from: u64| {
+                times.iter().filter(|at| **at >= from && **at < from + 10_000).count() as f64
+            };
+            let earned = [0, 5_000, 10_000].map(|back| within(&requests, start.max(back) - back));
+            let most = earned.into_iter().fold(0.0, f64::max);
+            let limit = 0.2 * most + 90.0;
+            let seen = within(&arrivals, start);
+            assert!(seen <= limit, "{seen} of {limit} from {start} ms, seed {seed}");
+        }
+    }
+}
--- a/crates/bw-gateway/tests/common/mod.rs
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -64,6 +64,7 @@
     pub settings: Settings,
     pub kernel: Kernel,
     store_stop: watch::Sender<bool>,
+    adjust: fn(&mut Settings),
 }
 
 fn loopback() -> SocketAddr {
@@ -169,6 +170,16 @@
 
     /// Starts a gateway as [`Self::start`] does, with the configuration `draft`.
     pub async fn start_with(behaviours: &[Behaviour], draft: Draft) -> Self {
+        Self::start_adjusted(behaviours, draft, |_| {}).await
+    }
+
+    /// Starts a gateway as [`Self::start_with`] does, with settings changed by `adjust`. Gateways that
+    /// are started from it have the same changes.
+    pub async fn start_adjusted(
+        behaviours: &[Behaviour],
+        draft: Draft,
+        adjust: fn(&mut Settings),
+    ) -> Self {
         let platform = Platform::new(1e6);
         let mut endpoints = Vec::new();
         for (number, behaviour) in behaviours.iter().enumerate() {
@@ -179,16 +190,15 @@
             endpoints.push(endpoint);
         }
         platform.change(|objects| objects.create(config_object(&draft))).unwrap();
-        let rig = Self::start_gateway("gateway-1", platform, endpoints).await;
+        let rig = Self::start_gateway("gateway-1", platform, endpoints, adjust).await;
         rig.wait_ready().await;
         rig
     }
 
     /// Starts another gateway of the same deployment, with an access of its own to the store.
     pub async fn start_peer(&self, instance: &str) -> Self {
-        let rig =
-            Self::start_gateway(instance, self.platform.with_own_faults(), self.endpoints.clone())
-                .await;
+        let (platform, endpoints) = (self.platform.with_own_faults(), self.endpoints.clone());
+        let rig = Self::start_gateway(instance, platform, endpoints, self.adjust).await;
         rig.wait_ready().await;
         rig
     }
@@ -196,8 +206,9 @@
     /// Stops this gateway and starts another one on the same store and endpoints.
     pub async fn restart(self, instance: &str) -> Self {
         let (platform, endpoints) = (self.platform.clone(), self.endpoints.clone());
+        let adjust = self.adjust;
         self.stop().await;
-        let rig = Self::start_gateway(instance, platform, endpoints).await;
+        let rig = Self::start_gateway(instance, platform, endpoints, adjust).await;
         rig.wait_ready().await;
         rig
     }
@@ -207,23 +218,25 @@
     pub async fn start_with_faults(&self, instance: &str, faults: Faults) -> Self {
         let store = self.platform.with_own_faults();
         store.set_faults(faults);
-        Self::start_gateway(instance, store, self.endpoints.clone()).await
+        Self::start_gateway(instance, store, self.endpoints.clone(), self.adjust).await
     }
 
     async fn start_gateway(
         instance: &str,
         platform: Platform,
         endpoints: Vec<FakeEndpoint>,
+        adjust: fn(&mut Settings),
     ) -> Self {
         let listener = bw_http::bind(loopback()).await.unwrap();
         let address = listener.local_addr().unwrap();
         let (store_stop, stop) = Stop::pair();
         tokio::spawn(bw_http::serve(listener, platform.routes(), stop));
         let mut settings = settings(instance, address);
+        adjust(&mut settings);
         let sockets = app::Sockets::bind(&mut settings).await.unwrap();
         let mut kernel = Kernel::new();
         app::start(&mut kernel, settings.clone(), sockets, None).unwrap();
-        Self { platform, endpoints, settings, kernel, store_stop }
+        Self { platform, endpoints, settings, kernel, store_stop, adjust }
     }
 
     /// Sends news to the gateway, as a peer does.
