Spend the slack of the retry budget only after a window of the process's own

One of the causes: each life of a gateway had a part of the slack, whatever the life before it had spent in the same window.

A process cannot know what its predecessor spent, and asking peers would rest on what they heard. So it spends only what its own requests earn until a window has passed since its start; what its predecessor spent is out of the window then. retries_stay_within_the_budget_while_a_gateway_restarts failed before with 72 of 30 and passes.

--- a/crates/bw-direct/src/budget.rs
+++ b/crates/bw-direct/src/budget.rs
@@ -1,4 +1,8 @@
 //! Retry budget of each service, as a share of its recent requests.
+//!
+//! All gateways share the budget without agreeing on each retry. Retries that requests earn are spent by
+//! the gateway that received the requests. The slack is divided among the gateways. A process does not
+//! know what its predecessor has spent, so it uses its part only when that is out of the window.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -56,12 +60,18 @@
 }
 
 /// Retry budgets of one gateway, by service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct RetryBudget {
     services: HashMap<String, Window>,
+    started_at: Duration,
 }
 
 impl RetryBudget {
+    /// Creates the budgets of a process that started at `started_at`.
+    pub fn new(started_at: Duration) -> Self {
+        Self { services: HashMap::new(), started_at }
+    }
+
     /// Counts a caller's request.
     pub fn record_request(&mut self, service: &str, window: Duration, now: Duration) {
         self.bucket(service, window, now).requests += 1;
@@ -99,6 +109,7 @@
         };
         let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
         let spent: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
+        let slack = if now < self.started_at + length { 0.0 } else { slack };
         let limit = MARGIN * (ratio * f64::from(requests) + slack / gateways.max(1) as f64);
         BudgetUse { spent, limit }
     }
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
+use bw_direct::budget::RetryBudget;
 use bw_direct::peers::PeerAddress;
 use bw_kernel::unix_millis;
 use bw_kernel::BootClock;
@@ -141,7 +143,7 @@
         waiting: waiting.clone(),
         suspects: suspects.clone(),
         peers: peers.clone(),
-        retry_budget: Arc::default(),
+        retry_budget: Arc::new(Mutex::new(RetryBudget::new(clock.now()))),
         body_memory: Arc::new(Semaphore::new(body_units(settings.memory))),
         metrics: gateway_metrics.clone(),
         clock,
