Divide the slack of the retry budget by all gateways that may spend it

Second cause of the retries beyond the budget: the slack was divided by the gateways that were ready and not leaving at the moment of the decision. Gateways that leave have spent their parts in the same window and go on spending, and a gateway that is cut off counted only itself; the log showed 56 and 38 retries granted with a count of one, limits of 72 and 107 beside 20.

A peer now counts until a window after its last news if it has announced that it leaves, and otherwise until it has been silent for ten minutes. Who hears less than half of the others forgets none of them and has no part after that time, since the others may have forgotten it; the replay of a cut in bw-direct/tests/peers.rs holds the sum of all parts at one for 2,000 s. Weighed: parts by an owner, or grants among gateways; both rest on a view and cost messages.

--- a/crates/bw-direct/src/budget.rs
+++ b/crates/bw-direct/src/budget.rs
@@ -77,16 +77,16 @@
         self.bucket(service, window, now).requests += 1;
     }
 
-    /// Spends one retry if the share of this gateway, one of `gateways`, is not exhausted; returns
-    /// whether it did.
+    /// Spends one retry if the budget of this gateway is not exhausted; returns whether it did. The slack
+    /// has `parts` parts, or this gateway has none.
     pub fn try_spend(
         &mut self,
         service: &str,
         allowance: Allowance,
-        gateways: usize,
+        parts: Option<usize>,
         now: Duration,
     ) -> bool {
-        let BudgetUse { spent, limit } = self.current(service, allowance, gateways, now);
+        let BudgetUse { spent, limit } = self.current(service, allowance, parts, now);
         if f64::from(spent + 1) > limit {
             return false;
         }
@@ -94,12 +94,12 @@
         true
     }
 
-    /// Returns what is spent and the limit for this gateway, one of `gateways`.
+    /// Returns what is spent and the limit for this gateway; arguments as for [`Self::try_spend`].
     pub fn current(
         &mut self,
         service: &str,
         allowance: Allowance,
-        gateways: usize,
+        parts: Option<usize>,
         now: Duration,
     ) -> BudgetUse {
         let Allowance { ratio, slack, window: length } = allowance;
@@ -109,8 +109,9 @@
         };
         let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
         let spent: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
-        let slack = if now < self.started_at + length { 0.0 } else { slack };
-        let limit = MARGIN * (ratio * f64::from(requests) + slack / gateways.max(1) as f64);
+        let parts = parts.filter(|_| now >= self.started_at + length);
+        let slack = parts.map_or(0.0, |parts| slack / parts.max(1) as f64);
+        let limit = MARGIN * (ratio * f64::from(requests) + slack);
         BudgetUse { spent, limit }
     }
 
--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -19,6 +19,10 @@
 /// Time without news after which a peer is no longer sent news.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
+/// Time without news after which a peer is taken for gone although it has not announced that it leaves.
+/// Until then it may be alive behind a cut of the network.
+const GONE_AFTER: Duration = Duration::from_secs(600);
+
 /// Addresses of a gateway.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerAddress {
@@ -151,8 +155,18 @@
         self.ready && self.is_present(now)
     }
 
+    /// Returns the time since the last news of the peer, or since it became known.
+    fn silence(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.last_seen.unwrap_or(self.first_seen))
+    }
+
     fn receives_news(&self, now: Duration) -> bool {
-        now.saturating_sub(self.last_seen.unwrap_or(self.first_seen)) <= FORGET_AFTER
+        self.silence(now) <= FORGET_AFTER
+    }
+
+    /// Returns whether the peer has announced that it leaves, and has been silent for `window` since.
+    fn has_left(&self, window: Duration, now: Duration) -> bool {
+        self.state.as_ref().is_some_and(|state| state.leaving) && self.silence(now) > window
     }
 }
 
@@ -266,6 +280,41 @@
         peers.collect()
     }
 
+    /// Returns the number of parts into which an amount that all gateways may spend within `window` is
+    /// divided; `None` if this gateway has no part.
+    ///
+    /// A peer counts until what it has spent is out of the window. Otherwise the parts of the others
+    /// would grow while it leaves, or while the network is cut. A gateway that has heard less than half of the
+    /// others for long has no part, since they may have forgotten it.
+    pub fn part_count(&self, window: Duration, now: Duration) -> Option<usize> {
+        let members = self.members(window, now).count();
+        self.hears_half(window, now).then_some(1 + members)
+    }
+
+    /// Forgets the peers that have left, and those that have been silent for so long that they are taken for
+    /// gone. A gateway that hears less than half of the others may itself be cut off and forgets none of them.
+    pub fn forget_gone(&mut self, window: Duration, now: Duration) {
+        let hears_half = self.hears_half(window, now);
+        self.peers.retain(|_, peer| {
+            let gone = hears_half && peer.silence(now) > GONE_AFTER;
+            !gone && !peer.has_left(window.max(FORGET_AFTER), now)
+        });
+    }
+
+    fn members(&self, window: Duration, now: Duration) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(move |peer| !peer.has_left(window, now))
+    }
+
+    /// Returns whether at least half of the other gateways have been heard so recently that none of
+    /// them can have forgotten this one, nor spent its part, for a window.
+    fn hears_half(&self, window: Duration, now: Duration) -> bool {
+        let recent = GONE_AFTER.saturating_sub(window);
+        let heard =
+            |peer: &&Peer| peer.last_seen.is_some_and(|at| now.saturating_sub(at) <= recent);
+        let heard = self.members(window, now).filter(heard).count();
+        2 * heard >= self.members(window, now).count()
+    }
+
     /// Returns the number of gateways believed to be alive, this one included.
     pub fn live_count(&self, now: Duration) -> usize {
         1 + self.live(now).count()
--- a/crates/bw-direct/tests/budget.rs
+++ b/crates/bw-direct/tests/budget.rs
@@ -23,7 +23,7 @@
         let now = ALLOWANCE.window + Duration::from_millis(step * 25 / 2);
         let gateway = &mut gateways[(step % 8) as usize];
         gateway.record_request("s", ALLOWANCE.window, now);
-        retries += u32::from(gateway.try_spend("s", ALLOWANCE, 8, now));
+        retries += u32::from(gateway.try_spend("s", ALLOWANCE, Some(8), now));
     }
     // 20 s: the allowance of two windows, from 80 requests per second and the slack.
     let allowed = 2.0 * (0.2 * 800.0 + 90.0);
@@ -35,16 +35,16 @@
 fn services_have_separate_budgets() {
     let mut budget = RetryBudget::new(Duration::ZERO);
     let now = Duration::from_secs(11);
-    while budget.try_spend("a", ALLOWANCE, 8, now) {}
-    assert!(budget.try_spend("b", ALLOWANCE, 8, now));
+    while budget.try_spend("a", ALLOWANCE, Some(8), now) {}
+    assert!(budget.try_spend("b", ALLOWANCE, Some(8), now));
 }
 
 #[test]
 fn spent_retries_are_restored_after_the_window() {
     let mut budget = RetryBudget::new(Duration::ZERO);
-    while budget.try_spend("a", ALLOWANCE, 8, Duration::from_secs(11)) {}
-    assert!(!budget.try_spend("a", ALLOWANCE, 8, Duration::from_secs(16)));
-    assert!(budget.try_spend("a", ALLOWANCE, 8, Duration::from_secs(22)));
+    while budget.try_spend("a", ALLOWANCE, Some(8), Duration::from_secs(11)) {}
+    assert!(!budget.try_spend("a", ALLOWANCE, Some(8), Duration::from_secs(16)));
+    assert!(budget.try_spend("a", ALLOWANCE, Some(8), Duration::from_secs(22)));
 }
 
 /// The predecessor may have spent its part in the same window.
@@ -55,7 +55,8 @@
     for _ in 0..50 {
         budget.record_request("s", ALLOWANCE.window, started_at);
     }
-    let mut spend = |now| (0..1_000).filter(|_| budget.try_spend("s", ALLOWANCE, 1, now)).count();
+    let mut spend =
+        |now| (0..1_000).filter(|_| budget.try_spend("s", ALLOWANCE, Some(1), now)).count();
     assert_eq!(spend(started_at + Duration::from_secs(9)), 8);
     assert!(spend(started_at + Duration::from_secs(21)) > 60);
 }
@@ -73,7 +74,7 @@
             now += gap;
             let at = Duration::from_millis(now);
             if retry {
-                if gateways[gateway].try_spend("s", ALLOWANCE, 4, at) {
+                if gateways[gateway].try_spend("s", ALLOWANCE, Some(4), at) {
                     retries.push(now);
                 }
             } else {
@@ -112,7 +113,7 @@
             let at = Duration::from_millis(now);
             budget.record_request("s", ALLOWANCE.window, at);
             requests.push(now);
-            if random.random_bool(0.9) && budget.try_spend("s", ALLOWANCE, 1, at) {
+            if random.random_bool(0.9) && budget.try_spend("s", ALLOWANCE, Some(1), at) {
                 arrivals.push(now.next_multiple_of(WAIT_MAX));
             }
         }
--- /dev/null
+++ b/crates/bw-direct/tests/peers.rs
@@ -0,0 +1,123 @@
+//! Tests of the parts into which amounts are divided that all gateways may spend together.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bw_direct::peers::News;
+use bw_direct::peers::PeerAddress;
+use bw_direct::peers::Peers;
+use bw_member::PeerState;
+use bw_model::Incarnation;
+use bw_model::Position;
+use bw_model::Version;
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+fn address(instance: &str) -> PeerAddress {
+    let socket = SocketAddr::from(([127, 0, 0, 1], 1));
+    PeerAddress {
+        instance: instance.to_string(),
+        centre: "a".to_string(),
+        callers: socket,
+        news: socket,
+    }
+}
+
+/// Receives news of a peer; `now` also is the number of the news.
+fn hear(peers: &mut Peers, instance: &str, leaving: bool, now: Duration) {
+    let state = PeerState {
+        instance: instance.to_string(),
+        incarnation: Incarnation(1),
+        seq: now.as_secs() + 1,
+        leaving,
+        version: Version(1),
+    };
+    let news = News {
+        state,
+        address: address(instance),
+        stamp: 1,
+        ready: !leaving,
+        proof: None,
+        store: None,
+        listing: Position::default(),
+        duty: None,
+        paces: Vec::new(),
+        works: Vec::new(),
+        suspects: Vec::new(),
+        others: Vec::new(),
+    };
+    peers.receive(&news, now);
+    peers.forget_gone(WINDOW, now);
+}
+
+/// Returns a gateway that has just heard of the given peers.
+fn hearing(instances: &[&str]) -> Peers {
+    let mut peers = Peers::new("own".to_string());
+    for instance in instances {
+        hear(&mut peers, instance, false, seconds(0));
+    }
+    peers
+}
+
+#[test]
+fn a_peer_that_leaves_keeps_its_part_until_a_window_after_its_last_news() {
+    let mut peers = hearing(&["b", "c"]);
+    hear(&mut peers, "c", true, seconds(5));
+    hear(&mut peers, "b", false, seconds(15));
+    assert_eq!(peers.part_count(WINDOW, seconds(15)), Some(3));
+    assert_eq!(peers.part_count(WINDOW, seconds(16)), Some(2));
+}
+
+#[test]
+fn a_silent_peer_keeps_its_part_until_it_is_taken_for_gone() {
+    let mut peers = hearing(&["b", "c"]);
+    for now in (0..600).step_by(10) {
+        hear(&mut peers, "b", false, seconds(now));
+        assert_eq!(peers.part_count(WINDOW, seconds(now)), Some(3));
+    }
+    hear(&mut peers, "b", false, seconds(601));
+    assert_eq!(peers.part_count(WINDOW, seconds(601)), Some(2));
+}
+
+#[test]
+fn a_peer_that_was_never_heard_has_a_part() {
+    let mut peers = hearing(&["b"]);
+    peers.add(address("c"), seconds(1));
+    assert_eq!(peers.part_count(WINDOW, seconds(2)), Some(3));
+}
+
+/// Two of five gateways hear only each other; the others hear three.
+#[test]
+fn the_smaller_side_of_a_cut_has_no_part_once_the_larger_one_forgets_it() {
+    let mut smaller = hearing(&["b", "c", "d", "e"]);
+    let mut larger = hearing(&["a", "b", "d", "e"]);
+    for now in 1..2_000 {
+        let at = seconds(now);
+        hear(&mut smaller, "b", false, at);
+        hear(&mut larger, "d", false, at);
+        hear(&mut larger, "e", false, at);
+        let part =
+            |peers: &Peers| peers.part_count(WINDOW, at).map_or(0.0, |parts| 1.0 / parts as f64);
+        let all = 2.0 * part(&smaller) + 3.0 * part(&larger);
+        assert!(all <= 1.0 + 1e-9, "{all} at {now} s");
+        assert!(part(&larger) > 0.0, "at {now} s");
+    }
+    assert_eq!(larger.part_count(WINDOW, seconds(2_000)), Some(3));
+}
+
+#[test]
+fn a_gateway_that_hears_nobody_for_long_has_no_part_and_forgets_nobody() {
+    let mut peers = hearing(&["b", "c"]);
+    for now in [591, 601, 5_000] {
+        peers.forget_gone(WINDOW, seconds(now));
+        assert_eq!(peers.part_count(WINDOW, seconds(now)), None, "at {now} s");
+    }
+    hear(&mut peers, "b", false, seconds(5_001));
+    assert_eq!(peers.part_count(WINDOW, seconds(5_001)), Some(2));
+}
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -167,6 +167,7 @@
         suspects,
         clock,
         seeds: seeds.collect(),
+        settings: live.clone(),
     };
 
     let Sockets {
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -369,13 +369,14 @@
         let settings = self.settings.get();
         let (ratio, slack) = (settings.retry_ratio, settings.retry_slack);
         let allowance = Allowance { ratio, slack, window: settings.retry_window };
-        let gateways = self.peers.live_count(now);
+        let parts = self.peers.part_count(settings.retry_window, now);
         let mut budget = self.lock_budget();
-        let BudgetUse { spent, limit } = budget.current(&job.service, allowance, gateways, now);
-        let granted = budget.try_spend(&job.service, allowance, gateways, now);
+        let BudgetUse { spent, limit } = budget.current(&job.service, allowance, parts, now);
+        let granted = budget.try_spend(&job.service, allowance, parts, now);
         drop(budget);
         job.append_trace(&format!(
-            "retry:granted={granted}:spent={spent}:limit={limit:.1}:gateways={gateways}:life_ms={}",
+            "retry:granted={granted}:spent={spent}:limit={limit:.1}:parts={}:life_ms={}",
+            parts.unwrap_or(0),
             now.as_millis()
         ));
         granted
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -32,6 +32,7 @@
 
 use crate::config::Config;
 use crate::endpoints::Endpoints;
+use crate::reload::LiveSettings;
 use crate::suspects::Suspects;
 use crate::waiting::WaitQueues;
 
@@ -260,6 +261,12 @@
         self.lock().peers.in_centre(&self.address.centre, now)
     }
 
+    /// Returns the number of parts of an amount that all gateways may spend within `window`, as
+    /// [`Peers::part_count`].
+    pub fn part_count(&self, window: Duration, now: Duration) -> Option<usize> {
+        self.lock().peers.part_count(window, now)
+    }
+
     /// Returns the number of gateways believed to be alive, this one included.
     pub fn live_count(&self, now: Duration) -> usize {
         self.lock().peers.live_count(now)
@@ -291,6 +298,8 @@
     pub clock: BootClock,
     /// News addresses of gateways to contact before any peer is known.
     pub seeds: Vec<SocketAddr>,
+    /// Settings, which may be reloaded while the process runs.
+    pub settings: LiveSettings,
 }
 
 impl Gossip {
@@ -418,9 +427,11 @@
         }
     }
 
-    /// Updates this gateway's position among the live gateways, which determines its home slots.
+    /// Updates this gateway's position among the live gateways, which determines its home slots, and
+    /// forgets gateways that are gone.
     fn update_position(&self, now: Duration) {
-        let state = self.peers.lock();
+        let mut state = self.peers.lock();
+        state.peers.forget_gone(self.settings.get().retry_window, now);
         let own = &self.peers.address.instance;
         let position = state.peers.live(now).filter(|peer| peer.instance < *own).count();
         let gateway_count = state.peers.live_count(now);
