Count a retry in the budget until it has arrived at an endpoint

What was granted in 18 s then arrives in 10 s.

A granted retry now counts until a window after its send has ended; the one that was not sent is returned.

--- a/crates/bw-direct/src/budget.rs
+++ b/crates/bw-direct/src/budget.rs
@@ -50,19 +50,30 @@
     }
 }
 
-/// Retries of one gateway in the window, and their limit.
+/// Retries of one gateway that count in the window, and their limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetUse {
-    /// Retries spent.
+    /// Retries that were granted and have not ended, or that arrived within the window.
     pub spent: u32,
     /// Retries that may be spent.
     pub limit: f64,
 }
 
+/// The budget of one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceBudget {
+    window: Window,
+    /// Retries that were granted and have not ended.
+    open: u32,
+}
+
 /// Retry budgets of one gateway, by service.
+///
+/// A retry may wait for long between its grant and its arrival at an endpoint. It therefore counts from its
+/// grant until a window after [`Self::settle`], so that any window holds no more arrivals than allowed.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
-    services: HashMap<String, Window>,
+    services: HashMap<String, ServiceBudget>,
     started_at: Duration,
 }
 
@@ -77,9 +88,9 @@
         self.bucket(service, window, now).requests += 1;
     }
 
-    /// Spends one retry if the budget of this gateway is not exhausted; returns whether it did. The slack
+    /// Grants one retry if the budget of this gateway is not exhausted; returns whether it did. The slack
     /// has `parts` parts, or this gateway has none.
-    pub fn try_spend(
+    pub fn try_grant(
         &mut self,
         service: &str,
         allowance: Allowance,
@@ -87,14 +98,27 @@
         now: Duration,
     ) -> bool {
         let BudgetUse { spent, limit } = self.current(service, allowance, parts, now);
-        if f64::from(spent + 1) > limit {
-            return false;
+        let granted = f64::from(spent + 1) <= limit;
+        if granted {
+            self.services.entry(service.to_string()).or_default().open += 1;
+        }
+        granted
+    }
+
+    /// Records that a granted retry has arrived at an endpoint, by `now`.
+    pub fn settle(&mut self, service: &str, window: Duration, now: Duration) {
+        self.release(service);
+        self.bucket(service, window, now).retries += 1;
+    }
+
+    /// Returns a granted retry that was not sent.
+    pub fn release(&mut self, service: &str) {
+        if let Some(budget) = self.services.get_mut(service) {
+            budget.open = budget.open.saturating_sub(1);
         }
-        self.bucket(service, allowance.window, now).retries += 1;
-        true
     }
 
-    /// Returns what is spent and the limit for this gateway; arguments as for [`Self::try_spend`].
+    /// Returns what is spent and the limit for this gateway; arguments as for [`Self::try_grant`].
     pub fn current(
         &mut self,
         service: &str,
@@ -104,20 +128,21 @@
     ) -> BudgetUse {
         let Allowance { ratio, slack, window: length } = allowance;
         self.bucket(service, length, now);
-        let Some(window) = self.services.get(service) else {
+        let Some(budget) = self.services.get(service) else {
             return BudgetUse { spent: 0, limit: 0.0 };
         };
-        let requests: u32 = window.buckets.iter().map(|bucket| bucket.requests).sum();
-        let spent: u32 = window.buckets.iter().map(|bucket| bucket.retries).sum();
+        let buckets = &budget.window.buckets;
+        let requests: u32 = buckets.iter().map(|bucket| bucket.requests).sum();
+        let retries: u32 = buckets.iter().map(|bucket| bucket.retries).sum();
         let parts = parts.filter(|_| now >= self.started_at + length);
         let slack = parts.map_or(0.0, |parts| slack / parts.max(1) as f64);
         let limit = MARGIN * (ratio * f64::from(requests) + slack);
-        BudgetUse { spent, limit }
+        BudgetUse { spent: budget.open + retries, limit }
     }
 
     fn bucket(&mut self, service: &str, window: Duration, now: Duration) -> &mut Counts {
         let length = window / (BUCKETS as u32 - 1);
-        let window = self.services.entry(service.to_string()).or_default();
-        window.bucket(now, length)
+        let budget = self.services.entry(service.to_string()).or_default();
+        budget.window.bucket(now, length)
     }
 }
--- a/crates/bw-direct/tests/budget.rs
+++ b/crates/bw-direct/tests/budget.rs
@@ -13,6 +13,15 @@
 
 const ALLOWANCE: Allowance = Allowance { ratio: 0.2, slack: 90.0, window: Duration::from_secs(10) };
 
+/// Grants a retry that arrives at once.
+fn try_spend(budget: &mut RetryBudget, service: &str, parts: usize, now: Duration) -> bool {
+    let granted = budget.try_grant(service, ALLOWANCE, Some(parts), now);
+    if granted {
+        budget.settle(service, ALLOWANCE.window, now);
+    }
+    granted
+}
+
 #[test]
 fn retries_are_limited_when_every_request_fails() {
     // Eight gateways receive 80 requests per second in total, all fail, and each request needs
@@ -23,7 +32,7 @@
         let now = ALLOWANCE.window + Duration::from_millis(step * 25 / 2);
         let gateway = &mut gateways[(step % 8) as usize];
         gateway.record_request("s", ALLOWANCE.window, now);
-        retries += u32::from(gateway.try_spend("s", ALLOWANCE, Some(8), now));
+        retries += u32::from(try_spend(gateway, "s", 8, now));
     }
     // 20 s: the allowance of two windows, from 80 requests per second and the slack.
     let allowed = 2.0 * (0.2 * 800.0 + 90.0);
@@ -35,16 +44,26 @@
 fn services_have_separate_budgets() {
     let mut budget = RetryBudget::new(Duration::ZERO);
     let now = Duration::from_secs(11);
-    while budget.try_spend("a", ALLOWANCE, Some(8), now) {}
-    assert!(budget.try_spend("b", ALLOWANCE, Some(8), now));
+    while try_spend(&mut budget, "a", 8, now) {}
+    assert!(try_spend(&mut budget, "b", 8, now));
 }
 
 #[test]
 fn spent_retries_are_restored_after_the_window() {
     let mut budget = RetryBudget::new(Duration::ZERO);
-    while budget.try_spend("a", ALLOWANCE, Some(8), Duration::from_secs(11)) {}
-    assert!(!budget.try_spend("a", ALLOWANCE, Some(8), Duration::from_secs(16)));
-    assert!(budget.try_spend("a", ALLOWANCE, Some(8), Duration::from_secs(22)));
+    while try_spend(&mut budget, "a", 8, Duration::from_secs(11)) {}
+    assert!(!try_spend(&mut budget, "a", 8, Duration::from_secs(16)));
+    assert!(try_spend(&mut budget, "a", 8, Duration::from_secs(22)));
+}
+
+#[test]
+fn a_retry_that_is_not_sent_returns_to_the_budget() {
+    let now = Duration::from_secs(11);
+    let mut budget = RetryBudget::new(Duration::ZERO);
+    while budget.try_grant("s", ALLOWANCE, Some(8), now) {}
+    budget.release("s");
+    assert!(budget.try_grant("s", ALLOWANCE, Some(8), now));
+    assert!(!budget.try_grant("s", ALLOWANCE, Some(8), now));
 }
 
 /// The predecessor may have spent its part in the same window.
@@ -55,8 +74,7 @@
     for _ in 0..50 {
         budget.record_request("s", ALLOWANCE.window, started_at);
     }
-    let mut spend =
-        |now| (0..1_000).filter(|_| budget.try_spend("s", ALLOWANCE, Some(1), now)).count();
+    let mut spend = |now| (0..1_000).filter(|_| try_spend(&mut budget, "s", 1, now)).count();
     assert_eq!(spend(started_at + Duration::from_secs(9)), 8);
     assert!(spend(started_at + Duration::from_secs(21)) > 60);
 }
@@ -74,7 +92,7 @@
             now += gap;
             let at = Duration::from_millis(now);
             if retry {
-                if gateways[gateway].try_spend("s", ALLOWANCE, Some(4), at) {
+                if try_spend(&mut gateways[gateway], "s", 4, at) {
                     retries.push(now);
                 }
             } else {
@@ -107,14 +125,20 @@
     for seed in 0..20 {
         let mut random = SmallRng::seed_from_u64(seed);
         let mut budget = RetryBudget::new(Duration::ZERO);
-        let (mut arrivals, mut requests) = (Vec::new(), Vec::new());
+        let (mut arrivals, mut requests, mut waiting) = (Vec::new(), Vec::new(), 0);
         // Endpoints stand still at each multiple of 8 s, when all that wait are sent.
         for now in (10_000..70_000).step_by(25) {
             let at = Duration::from_millis(now);
             budget.record_request("s", ALLOWANCE.window, at);
             requests.push(now);
-            if random.random_bool(0.9) && budget.try_spend("s", ALLOWANCE, Some(1), at) {
-                arrivals.push(now.next_multiple_of(WAIT_MAX));
+            if random.random_bool(0.9) && budget.try_grant("s", ALLOWANCE, Some(1), at) {
+                waiting += 1;
+            }
+            if now % WAIT_MAX == 0 {
+                for _ in 0..std::mem::take(&mut waiting) {
+                    budget.settle("s", ALLOWANCE.window, at);
+                    arrivals.push(now);
+                }
             }
         }
         for start in (0..70_000).step_by(500) {
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -3,10 +3,8 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::Mutex;
 use std::time::Duration;
 
-use bw_direct::budget::RetryBudget;
 use bw_direct::peers::PeerAddress;
 use bw_kernel::unix_millis;
 use bw_kernel::BootClock;
@@ -35,6 +33,7 @@
 use crate::relay::Relay;
 use crate::reload::follow_file;
 use crate::reload::LiveSettings;
+use crate::retries::Retries;
 use crate::settings::Settings;
 use crate::suspects::Suspects;
 use crate::sync::quarantine::QuarantineKeeper;
@@ -142,8 +141,7 @@
         endpoints: endpoints.clone(),
         waiting: waiting.clone(),
         suspects: suspects.clone(),
-        peers: peers.clone(),
-        retry_budget: Arc::new(Mutex::new(RetryBudget::new(clock.now()))),
+        retries: Retries::new(peers.clone(), live.clone(), clock),
         body_memory: Arc::new(Semaphore::new(body_units(settings.memory))),
         metrics: gateway_metrics.clone(),
         clock,
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -125,8 +125,20 @@
         if self.is_quarantined(job) {
             return Err(SendEnd::NotSent);
         }
+        if let Some(retry) = &mut job.retry {
+            if !retry.is_covered() {
+                job.retry = None;
+                job.append_trace("retry_not_covered");
+                return Err(SendEnd::NotSent);
+            }
+            retry.set_sent(true);
+        }
         job.tried.push(key);
         let result = self.exchange(job, &mut placed, last_event).await;
+        match (&mut job.retry, &result) {
+            (Some(retry), Err(failure)) if failure.end == SendEnd::NotSent => retry.set_sent(false),
+            _ => job.retry = None,
+        }
         let took = self.clock.now().saturating_sub(sent_at);
         let end = result.as_ref().err().map(|failure| failure.end);
         self.metrics.record_send(&job.service, end, placed.waited);
--- a/crates/bw-gateway/src/forward/job.rs
+++ b/crates/bw-gateway/src/forward/job.rs
@@ -19,6 +19,7 @@
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::placement::PlacementRequest;
+use crate::retries::Retry;
 use crate::waiting::PlacedRequest;
 
 /// Workspace priority of requests without a workspace.
@@ -56,6 +57,8 @@
     pub deadline: Duration,
     /// History of the sends.
     pub attempts: Attempts,
+    /// Retry that was granted and has not been sent, or whose send has not ended.
+    pub retry: Option<Retry>,
     /// Endpoints that the request was sent to.
     pub tried: SmallVec<[EndpointKey; 4]>,
     /// Results of the sends, each followed by a space, for the log.
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -6,18 +6,12 @@
 pub mod stream;
 
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::MutexGuard;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use bw_adapter::requests::decode_request;
 use bw_direct::attempts::Attempts;
 use bw_direct::attempts::Decision;
 use bw_direct::attempts::SendEnd;
-use bw_direct::budget::Allowance;
-use bw_direct::budget::BudgetUse;
-use bw_direct::budget::RetryBudget;
 use bw_direct::catalog::pick_target;
 use bw_direct::request::CallerHead;
 use bw_kernel::BootClock;
@@ -46,10 +40,11 @@
 use crate::config::Config;
 use crate::endpoints::Endpoints;
 use crate::metrics::GatewayMetrics;
-use crate::peers::SharedPeers;
 use crate::reload::LiveSettings;
 use crate::reply::Refusal;
 use crate::reply::ReplyBody;
+use crate::retries::Retries;
+use crate::retries::RetryDecision;
 use crate::suspects::Suspects;
 use crate::waiting::Rejected;
 use crate::waiting::WaitQueues;
@@ -92,10 +87,8 @@
     pub body_memory: Arc<Semaphore>,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
-    /// State received from the other gateways.
-    pub peers: SharedPeers,
-    /// Budget of retries, by service.
-    pub retry_budget: Arc<Mutex<RetryBudget>>,
+    /// Retry budgets of the services.
+    pub retries: Retries,
     /// Monotonic clock of the process.
     pub clock: BootClock,
     /// Settings, which may be reloaded while the process runs.
@@ -195,6 +188,7 @@
             body,
             fingerprint,
             _memory: memory,
+            retry: None,
             tried: SmallVec::new(),
             trace: String::new(),
         })
@@ -245,8 +239,7 @@
     }
 
     async fn forward(&self, mut job: Job) -> Response<ReplyBody> {
-        let window = self.settings.get().retry_window;
-        self.lock_budget().record_request(&job.service, window, job.arrived_at);
+        self.retries.record_request(&job.service, job.arrived_at);
         let outcome = loop {
             let request = job.placement_request(job.arrived_at);
             let placed = match self.waiting.place(request).await {
@@ -336,7 +329,7 @@
                 job.attempts.give_up(end)
             }
             // A send spends the retry budget only if an earlier send reached an endpoint.
-            Decision::Retry if is_retry && !self.try_spend_retry(job, now) => {
+            Decision::Retry if is_retry && !self.try_take_retry(job) => {
                 job.append_trace("no_budget");
                 job.attempts.give_up(end)
             }
@@ -365,24 +358,22 @@
         self.suspects.is_quarantined(job.fingerprint, &job.head.shared_parts())
     }
 
-    fn try_spend_retry(&self, job: &mut Job, now: Duration) -> bool {
-        let settings = self.settings.get();
-        let (ratio, slack) = (settings.retry_ratio, settings.retry_slack);
-        let allowance = Allowance { ratio, slack, window: settings.retry_window };
-        let parts = self.peers.part_count(settings.retry_window, now);
-        let mut budget = self.lock_budget();
-        let BudgetUse { spent, limit } = budget.current(&job.service, allowance, parts, now);
-        let granted = budget.try_spend(&job.service, allowance, parts, now);
-        drop(budget);
+    /// Takes a retry from the budget, unless the request has one that it did not use; returns whether it
+    /// has one now.
+    fn try_take_retry(&self, job: &mut Job) -> bool {
+        if job.retry.is_some() {
+            return true;
+        }
+        let RetryDecision { retry, usage, parts, age } = self.retries.decide(&job.service);
         job.append_trace(&format!(
-            "retry:granted={granted}:spent={spent}:limit={limit:.1}:parts={}:life_ms={}",
+            "retry:granted={}:spent={}:limit={:.1}:parts={}:life_ms={}",
+            retry.is_some(),
+            usage.spent,
+            usage.limit,
             parts.unwrap_or(0),
-            now.as_millis()
+            age.as_millis()
         ));
-        granted
-    }
-
-    fn lock_budget(&self) -> MutexGuard<'_, RetryBudget> {
-        self.retry_budget.lock().unwrap_or_else(PoisonError::into_inner)
+        job.retry = retry;
+        job.retry.is_some()
     }
 }
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod relay;
 pub mod reload;
 pub mod reply;
+pub mod retries;
 pub mod settings;
 pub mod suspects;
 pub mod sync;
