--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod evacuation;
 pub mod events;
 pub mod health;
+pub mod limits;
 pub mod load;
 pub mod part_news;
 pub mod peers;
--- a/crates/bw-direct/src/request.rs
+++ b/crates/bw-direct/src/request.rs
@@ -5,6 +5,9 @@
 
 use smallvec::SmallVec;
 
+use crate::limits::LimitError;
+use crate::limits::Rate;
+
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PromptPart {
@@ -88,7 +91,7 @@
 }
 
 /// The head of an endpoint's answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ReplyHead {
     /// HTTP status code.
     pub status: u16,
@@ -106,6 +109,8 @@
     pub idle: Option<Duration>,
     /// Load of the endpoint, if reported.
     pub load: Option<EndpointLoad>,
+    /// Limit on the requests from all gateways together that the endpoint names, or why it is ignored.
+    pub limit: Option<Result<Rate, LimitError>>,
     /// Whether the body is an event stream.
     pub events: bool,
 }
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -21,6 +21,8 @@
 use bw_direct::health::Counts;
 use bw_direct::health::Health;
 use bw_direct::health::HealthState;
+use bw_direct::limits::LimitError;
+use bw_direct::limits::Rate;
 use bw_direct::load::Loads;
 use bw_direct::load::Work;
 use bw_direct::peers::PaceNews;
@@ -34,6 +36,7 @@
 use bw_model::hash::rendezvous_weight;
 use bw_model::Key;
 use log::info;
+use log::warn;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
@@ -61,6 +64,8 @@
     idle: Vec<IdleConnection>,
     /// Hash of the endpoint's name, which identifies the endpoint in news.
     name_hash: u64,
+    /// Limit that the endpoint's last answer named, or why it is ignored.
+    limit: Option<Result<Rate, LimitError>>,
 }
 
 struct State {
@@ -357,6 +362,23 @@
         self.lock().loads.finish(key, prompt);
     }
 
+    /// Records the limit that the head of an endpoint's answer names, and logs a change.
+    pub fn record_limit(&self, key: EndpointKey, limit: Option<Result<Rate, LimitError>>) {
+        let mut state = self.lock();
+        if state.extras[key.index()].limit == limit {
+            return;
+        }
+        state.extras[key.index()].limit = limit;
+        let name = state.table.get(key).map_or("", |record| &record.endpoint.name);
+        match limit {
+            Some(Ok(rate)) => info!("event=endpoint_limit endpoint={name} per_second={rate}"),
+            Some(Err(error)) => {
+                warn!("event=endpoint_limit_ignored endpoint={name} reason=\"{error}\"")
+            }
+            None => info!("event=endpoint_limit_ended endpoint={name}"),
+        }
+    }
+
     /// Records a complete answer from an endpoint.
     pub fn record_success(&self, key: EndpointKey, now: Duration) {
         self.lock().health.record_success(key, now);
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -246,6 +246,7 @@
         };
         let (parts, body) = response.into_parts();
         let reply = decode_reply(&parts);
+        self.endpoints.record_limit(placed.chosen.key, reply.limit);
         self.check_reply(job, placed, &reply)?;
         if reply.events && parts.status.is_success() {
             return read_first_events(placed, reply, parts, body).await;
