Show that an endpoint gets more requests than the limit it named

Three gateways, three endpoints, one of which names a limit of 2 a second: 88 requests reach it in 3 s, allowed are 16.

--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -87,6 +87,8 @@
 #[derive(Debug, Default)]
 struct State {
     script: VecDeque<Behaviour>,
+    /// Text of the limit that all answers name.
+    limit: Option<String>,
     observed: Observations,
 }
 
@@ -147,6 +149,11 @@
         self.lock().script.push_back(behaviour);
     }
 
+    /// Sets the limit on requests a second that all answers name from now on; `None` for no limit.
+    pub fn name_limit(&self, limit: Option<&str>) {
+        self.lock().limit = limit.map(str::to_string);
+    }
+
     /// Returns the observations so far.
     pub fn observed(&self) -> Observations {
         self.lock().observed.clone()
@@ -202,6 +209,7 @@
         let metadata = ReplyMetadata {
             attempt: request.attempt.clone(),
             stamped: true,
+            limit: self.lock().limit.clone(),
             ..ReplyMetadata::default()
         };
         let ok_head = |extra: &str| head(200, &metadata, extra);
