Keep to the limits that endpoints in need name, all gateways together

Cause: the limit was not read. Class: a promise over all gateways that no gateway keeps for all. Keeping to it in each gateway alone would have given eight times as much. A limit is now divided into a few parts, each of which belongs to one gateway by rendezvous hashing over all that may be sending, heard or not; parts are saved up from nothing, so that a new process does not spend what its predecessor has. docs/design/limits.md has what was weighed.

--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -291,6 +291,13 @@
         self.hears_half(window, now).then_some(1 + members)
     }
 
+    /// Returns the instances of the gateways that [`Self::part_count`] counts, this one included; `None` if
+    /// this gateway has no part.
+    pub fn part_owners(&self, window: Duration, now: Duration) -> Option<Vec<String>> {
+        let peers = self.members(window, now).map(|peer| peer.address.instance.clone());
+        self.hears_half(window, now).then(|| peers.chain([self.own.clone()]).collect())
+    }
+
     /// Forgets the peers that have left, and those that have been silent for so long that they are taken for
     /// gone. A gateway that hears less than half of the others may itself be cut off and forgets none of them.
     pub fn forget_gone(&mut self, window: Duration, now: Duration) {
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -110,7 +110,8 @@
     };
     let peers = SharedPeers::new(address.clone(), initial_state(&settings), clock.now());
     let config = Config::default();
-    let endpoints = Endpoints::new(settings.centre.to_string(), rand::random());
+    let endpoints =
+        Endpoints::new(settings.instance.to_string(), settings.centre.to_string(), rand::random());
     let waiting = WaitQueues::new(endpoints.clone(), clock);
     let gateway_metrics = GatewayMetrics::new(&metrics)?;
     let suspects = Suspects::new(clock);
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -21,8 +21,13 @@
 use bw_direct::health::Counts;
 use bw_direct::health::Health;
 use bw_direct::health::HealthState;
+use bw_direct::limits::LimitChange;
 use bw_direct::limits::LimitError;
+use bw_direct::limits::LimitNews;
+use bw_direct::limits::Limits;
+use bw_direct::limits::Permission;
 use bw_direct::limits::Rate;
+use bw_direct::limits::Told;
 use bw_direct::load::Loads;
 use bw_direct::load::Work;
 use bw_direct::peers::PaceNews;
@@ -64,14 +69,16 @@
     idle: Vec<IdleConnection>,
     /// Hash of the endpoint's name, which identifies the endpoint in news.
     name_hash: u64,
-    /// Limit that the endpoint's last answer named, or why it is ignored.
-    limit: Option<Result<Rate, LimitError>>,
+    /// Why the limit that the endpoint's last answer named is ignored.
+    ignored_limit: Option<LimitError>,
 }
 
 struct State {
     table: Table,
     loads: Loads,
     health: Health,
+    /// Limits that endpoints in need name.
+    limits: Limits,
     /// Extras by the index of the endpoint's key.
     extras: Vec<EndpointExtras>,
     by_hash: HashMap<u64, EndpointKey>,
@@ -145,13 +152,14 @@
 }
 
 impl Endpoints {
-    /// Creates an empty table for a gateway in data centre `centre`; `seed` seeds the random
-    /// choice between endpoints.
-    pub fn new(centre: String, seed: u64) -> Self {
+    /// Creates an empty table for the gateway on `instance` in data centre `centre`; `seed` seeds the
+    /// random choice between endpoints.
+    pub fn new(instance: String, centre: String, seed: u64) -> Self {
         let state = State {
             table: Table::new(),
             loads: Loads::default(),
             health: Health::default(),
+            limits: Limits::new(instance),
             extras: Vec::new(),
             by_hash: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
@@ -287,6 +295,7 @@
         let candidates = state.candidates(request, &self.centre, now);
         let (best, slot_kind) = place(&candidates, &mut state.random)?;
         state.loads.start(best.key, request.prompt);
+        state.limits.record_send(best.key, now);
         let news_age = state.loads.oldest_news(now);
         let endpoint = &state.table.get(best.key)?.endpoint;
         Some(ChosenEndpoint {
@@ -322,12 +331,12 @@
         should_evacuate(pace, &paces, usize::from(member.size))
     }
 
-    /// Returns whether a service has endpoints that are not excluded, whether or not their groups
-    /// accept requests.
+    /// Returns whether a service has endpoints that are not excluded, and that this gateway may send
+    /// requests to now or later, whether or not their groups accept requests.
     pub fn serves(&self, service: &str, exclude: &[EndpointKey], now: Duration) -> bool {
         let state = self.lock();
-        let serves = state.table.usable(service, now).any(|key| !exclude.contains(&key));
-        serves
+        let mut usable = state.table.usable(service, now).filter(|key| !exclude.contains(key));
+        usable.any(|key| state.limits.permission(key, now) != Permission::Elsewhere)
     }
 
     /// Returns the groups of a service, ordered by name.
@@ -362,23 +371,58 @@
         self.lock().loads.finish(key, prompt);
     }
 
-    /// Records the limit that the head of an endpoint's answer names, and logs a change.
-    pub fn record_limit(&self, key: EndpointKey, limit: Option<Result<Rate, LimitError>>) {
+    /// Records the limit that the head of an endpoint's answer names, if any, and logs a change. The
+    /// request was sent at `sent_at`.
+    pub fn record_limit(
+        &self,
+        key: EndpointKey,
+        named: Option<Result<Rate, LimitError>>,
+        sent_at: Duration,
+        now: Duration,
+    ) {
         let mut state = self.lock();
-        if state.extras[key.index()].limit == limit {
-            return;
+        let state = &mut *state;
+        let Some(record) = state.table.get(key) else { return };
+        let name = &record.endpoint.name;
+        let ignored = named.and_then(Result::err);
+        if let Some(error) = ignored.filter(|_| state.extras[key.index()].ignored_limit != ignored)
+        {
+            warn!("event=endpoint_limit_ignored endpoint={name} reason=\"{error}\"");
         }
-        state.extras[key.index()].limit = limit;
-        let name = state.table.get(key).map_or("", |record| &record.endpoint.name);
-        match limit {
-            Some(Ok(rate)) => info!("event=endpoint_limit endpoint={name} per_second={rate}"),
-            Some(Err(error)) => {
-                warn!("event=endpoint_limit_ignored endpoint={name} reason=\"{error}\"")
-            }
-            None => info!("event=endpoint_limit_ended endpoint={name}"),
+        state.extras[key.index()].ignored_limit = ignored;
+        if ignored.is_none() {
+            let rate = named.and_then(Result::ok);
+            let change = state.limits.record_answer(key, name, rate, sent_at, now);
+            log_limit(name, change, "answer");
+        }
+    }
+
+    /// Applies the limits that endpoints have named to a peer; unknown endpoints are ignored.
+    pub fn receive_limits(&self, news: &[LimitNews], now: Duration) {
+        let mut state = self.lock();
+        let state = &mut *state;
+        for news in news {
+            let key = state.by_hash.get(&news.endpoint).copied();
+            let Some(record) = key.and_then(|key| state.table.get(key)) else { continue };
+            let (Some(key), Ok(told)) = (key, Told::try_from(*news)) else { continue };
+            let change = state.limits.receive(key, &record.endpoint.name, told, now);
+            log_limit(&record.endpoint.name, change, "peer");
         }
     }
 
+    /// Returns the limits that endpoints have named to this gateway, for the news to peers.
+    pub fn limit_news(&self, now: Duration) -> Vec<LimitNews> {
+        let state = self.lock();
+        let news = state.limits.news(now).into_iter();
+        news.map(|(key, told)| LimitNews::new(state.extras[key.index()].name_hash, told)).collect()
+    }
+
+    /// Sets the gateways that may have parts of limits, by their instances; none while this gateway may
+    /// have none.
+    pub fn set_part_owners(&self, owners: Vec<String>, now: Duration) {
+        self.lock().limits.set_members(owners, now);
+    }
+
     /// Records a complete answer from an endpoint.
     pub fn record_success(&self, key: EndpointKey, now: Duration) {
         self.lock().health.record_success(key, now);
@@ -506,6 +550,7 @@
             EndpointChange::Restarted => {
                 extras.idle.clear();
                 self.health.reset(key);
+                self.limits.reset(key);
             }
             EndpointChange::Removed => extras.idle.clear(),
             EndpointChange::Added | EndpointChange::Changed | EndpointChange::Lapsed => {}
@@ -536,7 +581,9 @@
         let home_slots = assign_home_slots(&slots, self.position.0, self.position.1);
         let works = self.loads.total(&keys, now);
         let all = keys.iter().zip(slots).zip(home_slots).zip(works);
-        let candidates = all.filter(|(((key, _), _), _)| !request.exclude.contains(key));
+        let candidates = all.filter(|(((key, _), _), _)| {
+            !request.exclude.contains(key) && self.limits.permission(**key, now).allows()
+        });
         let candidates: Vec<Candidate> = candidates
             .map(|(((key, slots), home_slots), work)| Candidate {
                 key: *key,
@@ -598,3 +645,20 @@
         self.table.get(key).map_or(0, |record| record.endpoint.slots)
     }
 }
+
+/// Logs a change of an endpoint's limit; `source` tells who reported it.
+fn log_limit(endpoint: &str, change: Option<LimitChange>, source: &str) {
+    match change {
+        Some(LimitChange::Named(rate, part)) => info!(
+            "event=endpoint_limit endpoint={endpoint} per_second={rate} part_per_second={:.3} \
+             parts={} gateways={} source={source}",
+            part.per_second,
+            part.count,
+            part.place.map_or(0, |(_, gateways)| gateways)
+        ),
+        Some(LimitChange::Ended) => {
+            info!("event=endpoint_limit_ended endpoint={endpoint} source={source}");
+        }
+        None => {}
+    }
+}
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -237,6 +237,7 @@
         placed: &mut PlacedRequest,
         request: Request<Full<Bytes>>,
     ) -> Result<ReceivedAnswer, SendFailure> {
+        let sent_at = self.clock.now();
         let response = match channel.send(request).await {
             Ok(response) => response,
             Err(ChannelError::NotSent(reason)) => {
@@ -246,7 +247,7 @@
         };
         let (parts, body) = response.into_parts();
         let reply = decode_reply(&parts);
-        self.endpoints.record_limit(placed.chosen.key, reply.limit);
+        self.endpoints.record_limit(placed.chosen.key, reply.limit, sent_at, self.clock.now());
         self.check_reply(job, placed, &reply)?;
         if reply.events && parts.status.is_success() {
             return read_first_events(placed, reply, parts, body).await;
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_direct::limits::LimitNews;
 use bw_direct::peers::add_echo;
 use bw_direct::peers::split_echo;
 use bw_direct::peers::News;
@@ -57,6 +58,10 @@
 /// First byte of a datagram with news about parts of prompts. The codec of the other news starts with
 /// its format number, which is lower.
 const PART_NEWS_MARK: u8 = u8::MAX;
+/// First byte of a datagram with limits that endpoints have named.
+const LIMIT_NEWS_MARK: u8 = u8::MAX - 1;
+/// Limits in one datagram, which fits into [`DATAGRAM_MAX`] with them.
+const LIMITS_MAX: usize = 512;
 /// Largest datagram, in bytes, that is received whole.
 const DATAGRAM_MAX: usize = 16_384;
 
@@ -319,6 +324,8 @@
                         warn!("event=stalled late_ms={}", late.as_millis());
                     }
                     self.send_news(&socket, rounds).await;
+                    // An endpoint with a limit may take one more request, which no other event shows.
+                    self.waiting.dispatch();
                     rounds += 1;
                     next = Instant::now() + news_interval(self.peers.live_count(self.clock.now()));
                 }
@@ -381,15 +388,17 @@
                 return;
             }
         };
-        let part_news = self.encode_part_news();
+        let mut rare_news: Vec<Vec<u8>> = self.encode_part_news().into_iter().collect();
+        let limits = self.endpoints.limit_news(now);
+        rare_news.extend(limits.chunks(LIMITS_MAX).filter_map(encode_limits));
         let stamps = self.peers.lock().stamps.clone();
         for target in targets {
             let echo = stamps.get(&target).copied().unwrap_or(NO_STAMP);
             // A datagram that the kernel does not accept at once is dropped, like one that is lost
             // in the network.
             let _ = socket.try_send_to(&add_echo(&bytes, echo), target);
-            if let Some(part_news) = &part_news {
-                let _ = socket.try_send_to(part_news, target);
+            for news in &rare_news {
+                let _ = socket.try_send_to(news, target);
             }
         }
     }
@@ -435,8 +444,10 @@
         let own = &self.peers.address.instance;
         let position = state.peers.live(now).filter(|peer| peer.instance < *own).count();
         let gateway_count = state.peers.live_count(now);
+        let owners = state.peers.part_owners(self.settings.get().retry_window, now);
         drop(state);
         self.endpoints.set_position(position, gateway_count);
+        self.endpoints.set_part_owners(owners.unwrap_or_default(), now);
     }
 
     /// Decodes a datagram and applies its news.
@@ -448,6 +459,13 @@
             }
             return;
         }
+        if let Some((&LIMIT_NEWS_MARK, bytes)) = bytes.split_first() {
+            match decode::<Vec<LimitNews>>(bytes) {
+                Ok(news) => self.endpoints.receive_limits(&news, self.clock.now()),
+                Err(error) => warn!("event=news_unreadable reason=\"{error}\""),
+            }
+            return;
+        }
         let Some((bytes, echo)) = split_echo(bytes) else {
             warn!("event=news_unreadable reason=too_short");
             return;
@@ -489,3 +507,14 @@
         self.waiting.dispatch();
     }
 }
+
+/// Returns the datagram with limits that endpoints have named.
+fn encode_limits(limits: &[LimitNews]) -> Option<Vec<u8>> {
+    match encode(&limits.to_vec()) {
+        Ok(bytes) => Some([&[LIMIT_NEWS_MARK], bytes.as_slice()].concat()),
+        Err(error) => {
+            warn!("event=news_unsent reason=\"{error}\"");
+            None
+        }
+    }
+}
