Take no proof of the newest configuration from the first seconds of a restored store

A key that had been taken away opened again: its revocation was accepted while a gateway could not see the store, and lost by the restore; the copy then showed the version in force, and reading it counted as a proof that it is the newest. The same came from a peer that had started after the restore. Class: what a restored store shows is taken for what was accepted.

From the first sight of a new era, by the store's own answer or by a peer's news, reads and peers' proofs count as none for 2 s, in which the operator writes again; proofs from before go on until they are too old. Weighed: a longer time, which refuses requests after each restore, and waiting also in processes that have just started, which delays each start.

Both tests failed before (the key opened within 1.5 s after the revocation had to be in force) and pass; the six older ones too.

--- a/crates/bw-gateway/src/config.rs
+++ b/crates/bw-gateway/src/config.rs
@@ -16,6 +16,10 @@
 
 use crate::reload::LiveSettings;
 
+/// Time from the first sight of a new era of the store until the store's configuration proves something again.
+/// Until then it may lack accepted versions, which the operator is writing again.
+const RESTORE_GRACE: Duration = Duration::from_millis(2_000);
+
 /// Maximum number of announced versions whose times are kept. The first ones matter most.
 const MISSING_MAX: usize = 64;
 
@@ -26,6 +30,10 @@
     listed: Version,
     /// Time up to which every accepted change is known to be in force at this gateway.
     proof: Option<Duration>,
+    /// Highest era of the store that was seen; `None` before the first one.
+    era: Option<u64>,
+    /// Time before which the store's configuration proves nothing, since an era has begun.
+    settled_at: Duration,
     /// A peer that has a higher version.
     ahead: Option<AheadPeer>,
     /// Versions above the one in force that peers have announced, in the order of their first
@@ -55,6 +63,8 @@
             catalog: None,
             listed: Version(0),
             proof: None,
+            era: None,
+            settled_at: Duration::ZERO,
             ahead: None,
             missing: VecDeque::new(),
         };
@@ -62,6 +72,14 @@
     }
 }
 
+impl State {
+    /// Records that the configuration in force was the newest at `proof`, unless the store may then have
+    /// lacked accepted versions.
+    fn record_proof(&mut self, proof: Option<Duration>) {
+        self.proof = self.proof.max(proof.filter(|proof| *proof >= self.settled_at));
+    }
+}
+
 impl Config {
     /// Returns the catalog in force; `None` before the first one.
     pub fn current(&self) -> Option<Arc<Catalog>> {
@@ -85,7 +103,7 @@
             return;
         }
         // Every later version includes what was in force at an earlier proof.
-        state.proof = state.proof.max(proof);
+        state.record_proof(proof);
         if known == Some(catalog.version) {
             return;
         }
@@ -105,10 +123,35 @@
         let mut state = self.lock();
         let covers = state.catalog.as_ref().is_some_and(|catalog| catalog.version >= version);
         if covers {
-            state.proof = state.proof.max(Some(time));
+            state.record_proof(Some(time));
+        }
+    }
+
+    /// Records that the store was seen in `era`, by its own answer or by that of `source`, and logs a new
+    /// era. The era that a process sees first may have begun at any time.
+    pub fn observe_era(&self, era: u64, source: &str, now: Duration) {
+        let mut state = self.lock();
+        let before = state.era;
+        state.era = before.max(Some(era));
+        let Some(before) = before else { return };
+        if era > before {
+            state.settled_at = now + RESTORE_GRACE;
+            info!(
+                "event=store_era era={era} before={before} source={source} listed={} in_force={} \
+                 proof_age_ms={} settles_in_ms={}",
+                state.listed,
+                state.catalog.as_ref().map_or(Version(0), |catalog| catalog.version),
+                state.proof.map_or(-1, |proof| now.saturating_sub(proof).as_millis() as i64),
+                RESTORE_GRACE.as_millis()
+            );
         }
     }
 
+    /// Returns the highest era of the store that was seen; 0 before the first one.
+    pub fn era(&self) -> u64 {
+        self.lock().era.unwrap_or(0)
+    }
+
     /// Records that the store showed no change of its configuration at `time`. That proves nothing while
     /// the store shows an older version than the one in force: it has lost accepted versions, which may
     /// be newer than both.
--- a/crates/bw-gateway/src/metrics.rs
+++ b/crates/bw-gateway/src/metrics.rs
@@ -20,6 +20,7 @@
     waiting: IntGaugeVec,
     version: IntGaugeVec,
     proof: IntGaugeVec,
+    era: IntGaugeVec,
     switches: IntCounterVec,
 }
 
@@ -70,6 +71,11 @@
                 "Age of the proof that the configuration is the newest; -1 for none.",
                 &[],
             )?,
+            era: metrics.gauge(
+                "bw_gateway_store_era",
+                "Highest era of the store that was seen; it rises when the store is restored.",
+                &[],
+            )?,
             switches: metrics.counter(
                 "bw_gateway_map_switches_total",
                 "Switches of expert maps by the phase that they reached last.",
@@ -113,10 +119,11 @@
     }
 
     /// Sets the gauges, which are only updated when the metrics are read.
-    pub fn set_gauges(&self, waiting: usize, version: u64, proof: Option<Duration>) {
+    pub fn set_gauges(&self, waiting: usize, version: u64, proof: Option<Duration>, era: u64) {
         self.waiting.with_label_values::<&str>(&[]).set(waiting as i64);
         self.version.with_label_values::<&str>(&[]).set(version as i64);
         let proof = proof.map_or(-1, |age| age.as_millis() as i64);
         self.proof.with_label_values::<&str>(&[]).set(proof);
+        self.era.with_label_values::<&str>(&[]).set(era as i64);
     }
 }
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -478,14 +478,12 @@
             }
         };
         let now = self.clock.now();
+        let instance = &news.state.instance;
         let outcome = self.peers.lock().peers.receive(&news, now);
         match outcome {
             NewsOutcome::Stale => return,
             NewsOutcome::First => {
-                info!(
-                    "event=peer_heard peer={} life={}",
-                    news.state.instance, news.state.incarnation
-                );
+                info!("event=peer_heard peer={} life={}", instance, news.state.incarnation);
                 self.suspects.announce();
                 // Sends news at once, so that the new peer does not learn of this gateway only in
                 // the next round.
@@ -494,14 +492,16 @@
             NewsOutcome::Known => {}
         }
         self.peers.lock().stamps.insert(news.address.news, news.stamp);
+        if news.listing != Position::default() {
+            self.config.observe_era(news.listing.era(), instance, now);
+        }
         self.apply_proof(&news, echo);
-        let PeerState { instance, leaving, .. } = &news.state;
-        self.peers.lock().duty.observe(instance, news.duty, *leaving, now);
+        self.peers.lock().duty.observe(instance, news.duty, news.state.leaving, now);
         if news.duty.is_some() {
             self.endpoints.receive_paces(&news.paces, now);
         }
         self.suspects.receive(&news.suspects);
-        self.endpoints.receive_work(&news.state.instance, &news.works, now);
+        self.endpoints.receive_work(instance, &news.works, now);
         self.config.record_peer_version(news.state.version, news.address.news, now);
         self.peers.record_peer_listing(news.listing, news.address.news);
         self.waiting.dispatch();
--- a/crates/bw-gateway/src/sync/config.rs
+++ b/crates/bw-gateway/src/sync/config.rs
@@ -79,6 +79,7 @@
     async fn list_config(&self, upstream: &Upstream) -> Result<PollOutcome, StoreError> {
         let sent_at = self.clock.now();
         let (list, position) = upstream.feed.list(catalog::KIND).await?;
+        self.config.observe_era(position.era(), "list", self.clock.now());
         let proof = upstream.feed.is_store().then_some(sent_at);
         let list = self.apply_configs(list, proof);
         // Peers go on getting a configuration that the store has lost.
@@ -117,6 +118,7 @@
         let started_at = self.clock.now();
         match Feed::peer(peer).list(catalog::KIND).await {
             Ok((list, position)) => {
+                self.config.observe_era(position.era(), "peer", self.clock.now());
                 let took = self.clock.now().saturating_sub(started_at);
                 info!("event=configuration_fetched peer={peer} took_ms={}", took.as_millis());
                 for object in self.apply_configs(list, None) {
--- a/crates/bw-gateway/src/sync/endpoints.rs
+++ b/crates/bw-gateway/src/sync/endpoints.rs
@@ -146,6 +146,7 @@
         }
         let decoded = list.iter().filter_map(decode_entry).collect();
         let now = self.clock.now();
+        self.config.observe_era(position.era(), "endpoints", now);
         let is_first = known == Position::default();
         if position.era() > known.era() && !is_first {
             info!("event=store_restored position={position} known={known}");
--- a/crates/bw-gateway/src/web.rs
+++ b/crates/bw-gateway/src/web.rs
@@ -60,7 +60,8 @@
     /// Updates the gauges, which nothing else sets.
     fn update_gauges(&self) {
         let proof = self.config.proof_age(self.clock.now());
-        self.metrics.set_gauges(self.waiting.len(), self.config.version().0, proof);
+        let (version, era) = (self.config.version().0, self.config.era());
+        self.metrics.set_gauges(self.waiting.len(), version, proof, era);
     }
 }
 
--- a/crates/bw-gateway/tests/restore.rs
+++ b/crates/bw-gateway/tests/restore.rs
@@ -5,10 +5,12 @@
 mod common;
 
 use std::time::Duration;
+use std::time::Instant;
 
 use bw_adapter::stand_in::config::config_object;
 use bw_adapter::stand_in::endpoint::listing_object;
 use bw_adapter::Object;
+use bw_direct::catalog::Draft;
 use bw_direct::endpoint::Endpoint;
 use bw_direct::endpoint::Phase;
 use bw_duty::Lease;
@@ -198,3 +200,61 @@
     second.stop().await;
     first.stop().await;
 }
+
+/// Time within which an operator has written again what a restore has lost.
+const REWRITE: Duration = Duration::from_millis(1_500);
+
+/// Returns the configuration with version 2, which has taken [`common::KEY`] away.
+fn revoked() -> Draft {
+    let mut draft = draft(2);
+    let workspace = &mut draft.workspaces.as_mut().unwrap()[0];
+    workspace.keys = vec!["another-key".to_string()];
+    draft
+}
+
+/// Calls the gateway until `until`, and returns whether the key has opened anything.
+async fn opens_until(rig: &Rig, until: Instant) -> bool {
+    let mut opened = false;
+    while Instant::now() < until {
+        opened |= rig.call("GET", "/status/1", "").await.status == 200;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    opened
+}
+
+/// The revocation is accepted while the gateway cannot see the store, and lost. The store then shows the
+/// configuration that the gateway has in force, as if it were the newest.
+#[tokio::test]
+async fn a_key_whose_revocation_a_restored_store_has_lost_opens_nothing() {
+    let rig = Rig::start(&[ok_answer()]).await;
+    let snapshot = rig.platform.snapshot();
+    rig.platform.set_faults(Faults { down: true, ..Faults::default() });
+    rig.configure(&revoked());
+    let revoked_by = Instant::now() + rig.settings.revoke;
+    rig.platform.restore(snapshot);
+    tokio::time::sleep_until(revoked_by.into()).await;
+    rig.platform.set_faults(Faults::default());
+    assert!(!opens_until(&rig, Instant::now() + REWRITE).await);
+    rig.configure(&revoked());
+    rig.wait_status("/status/1", 401).await;
+    rig.stop().await;
+}
+
+/// The other gateway has started after the restore and takes what the store shows for the newest.
+#[tokio::test]
+async fn a_proof_of_a_gateway_that_knows_only_the_restored_store_opens_nothing() {
+    let rig = Rig::start(&[ok_answer()]).await;
+    let snapshot = rig.platform.snapshot();
+    rig.platform.set_faults(Faults { down: true, ..Faults::default() });
+    rig.configure(&revoked());
+    let revoked_by = Instant::now() + rig.settings.revoke;
+    rig.platform.restore(snapshot);
+    tokio::time::sleep_until(revoked_by.into()).await;
+    let started = rig.start_with_faults("gateway-2", Faults::default()).await;
+    let rewritten = Instant::now() + REWRITE;
+    assert!(!opens_until(&rig, rewritten).await);
+    rig.configure(&revoked());
+    rig.wait_status("/status/1", 401).await;
+    started.stop().await;
+    rig.stop().await;
+}
