--- a/crates/bw-direct/tests/limits.rs
+++ b/crates/bw-direct/tests/limits.rs
@@ -181,6 +181,17 @@
     }
 }
 
+/// Shows that the replay notices gateways which do not divide the limit.
+#[test]
+fn gateways_that_each_keep_to_the_limit_alone_exceed_it_together() {
+    let mut replay = Replay::new(8, 1.1, 1);
+    for gateway in &mut replay.gateways {
+        gateway.limits.set_members(vec![gateway.name.clone()], Duration::ZERO);
+    }
+    replay.run(Trouble::None, 30_000);
+    assert!(replay.most_arrivals() as f64 > replay.allowed(), "{}", replay.most_arrivals());
+}
+
 #[test]
 fn four_fifths_of_a_limit_are_used_where_callers_want_more() {
     for count in [1, 8, 46] {
