Keep a lease of the entries' planners for each era of the store

After a restore two entries planned for one group under one fencing number: the number was that of the lease read plus one, and the lease read was the older copy. A renewal by the holder from before could also take the lease from the next holder, since its condition is a revision that the store gives out again. Class: positions and numbers of an earlier era are taken for those of the present one.

Each era has a lease object of its own, named after it, so that no conditional write reaches across a restore; the era is in the number, and an agent that has restarted takes no order of an era before. Weighed: comparing the era of read and write, which shows the damage when it is done.

--- a/crates/bw-agent/src/experts.rs
+++ b/crates/bw-agent/src/experts.rs
@@ -7,7 +7,6 @@
 
 use bw_duty::fencing::FenceVerdict;
 use bw_duty::FenceGuard;
-use bw_duty::Lease;
 use bw_expert::switch::Event;
 use bw_expert::switch::Phase;
 use bw_expert::Coordinator;
@@ -19,7 +18,9 @@
 use bw_expert::Rank;
 use bw_kernel::Stop;
 use bw_link::Pool;
+use bw_model::Fence;
 use bw_model::Incarnation;
+use bw_platform::LeaseObject;
 use bw_platform::Purpose;
 use bw_platform::Store;
 use bw_proto::decode;
@@ -182,10 +183,11 @@
         if self.state.lock().await.fence.known().is_some() {
             return;
         }
-        let name = format!("plan-{}", view.endpoint);
-        if let Ok(object) = store.get(Purpose::Read, "leases", &name).await {
-            let lease = object.and_then(|object| object.content::<Lease>().ok());
-            self.state.lock().await.fence.learn(lease.unwrap_or_default().fence);
+        let mut object = LeaseObject::new(format!("plan-{}", view.endpoint));
+        if let Ok(lease) = object.read(store, Purpose::Read).await {
+            let fence = lease.unwrap_or_default().fence;
+            // Holders of earlier eras may have lost their leases to others with a restore.
+            self.state.lock().await.fence.learn(fence.max(Fence::new(object.era(), 0)));
         }
     }
 
--- a/crates/bw-duty/src/lease.rs
+++ b/crates/bw-duty/src/lease.rs
@@ -5,6 +5,10 @@
 //! increments the fencing number. Clocks only decide when to try: when a holder continues after a
 //! pause of its process, its renewal fails on the object's version and its orders fail on the
 //! fencing number.
+//!
+//! A store that returns from an older copy may have lost the lease, and gives versions out again. Each era
+//! of the store therefore has a lease object of its own, so that no write is conditional on a version of an
+//! earlier era, and the era is part of the fencing number.
 
 use std::time::Duration;
 
@@ -23,6 +27,14 @@
     pub renewal: u64,
 }
 
+/// Returns the name of the object for lease `name` in an era of the store.
+pub fn object_name(name: &str, era: u64) -> String {
+    match era {
+        0 => name.to_string(),
+        era => format!("era{era}-{name}"),
+    }
+}
+
 /// Next action of a lease candidate.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LeaseStep {
@@ -41,6 +53,8 @@
     delay: Duration,
     /// The lease last read or written, and the time since which it is unchanged.
     observed: Option<(Lease, Duration)>,
+    /// Era of the store in which the lease was read.
+    era: u64,
     /// Fencing number of the held lease, and the start of its last successful write.
     held: Option<(Fence, Duration)>,
 }
@@ -48,12 +62,13 @@
 impl LeaseCandidate {
     /// Creates a candidate that tries `delay` after a lease of length `term` has expired.
     pub fn new(instance: String, term: Duration, delay: Duration) -> Self {
-        Self { instance, term, delay, observed: None, held: None }
+        Self { instance, term, delay, observed: None, era: 0, held: None }
     }
 
-    /// Records the lease as read from the store; `None` when the object does not exist.
-    pub fn observe(&mut self, lease: Option<Lease>, now: Duration) {
+    /// Records the lease as read from the store in `era`; `None` when the object does not exist.
+    pub fn observe(&mut self, lease: Option<Lease>, era: u64, now: Duration) {
         let lease = lease.unwrap_or_default();
+        self.era = self.era.max(era);
         if lease.holder != self.instance || Some(lease.fence) != self.held.map(|held| held.0) {
             self.held = None;
         }
@@ -79,7 +94,7 @@
         if now.saturating_sub(*since) < wait {
             return LeaseStep::Wait;
         }
-        let fence = Fence(lease.fence.0 + 1);
+        let fence = Fence::new(self.era.max(lease.fence.era()), lease.fence.holder() + 1);
         LeaseStep::Write(Lease { holder: self.instance.clone(), fence, renewal: 0 })
     }
 
--- a/crates/bw-duty/tests/lease.rs
+++ b/crates/bw-duty/tests/lease.rs
@@ -22,7 +22,7 @@
 }
 
 fn acquire(candidate: &mut LeaseCandidate, lease: Option<Lease>, now: Duration) -> Lease {
-    candidate.observe(lease, now);
+    candidate.observe(lease, 0, now);
     let LeaseStep::Write(next) = candidate.step(now) else { panic!("the lease is not acquired") };
     candidate.confirm_write(next.clone(), now);
     next
@@ -32,11 +32,11 @@
 fn a_renewed_lease_is_not_taken_over() {
     let (mut first, mut second) = (candidate("entry-1"), candidate("entry-2"));
     let lease = acquire(&mut first, None, seconds(0));
-    second.observe(Some(lease.clone()), seconds(1));
+    second.observe(Some(lease.clone()), 0, seconds(1));
     assert_eq!(second.step(seconds(9)), LeaseStep::Wait);
     let LeaseStep::Write(renewed) = first.step(seconds(5)) else { panic!("not renewed") };
     first.confirm_write(renewed.clone(), seconds(5));
-    second.observe(Some(renewed), seconds(10));
+    second.observe(Some(renewed), 0, seconds(10));
     assert_eq!(second.step(seconds(19)), LeaseStep::Wait);
 }
 
@@ -44,7 +44,7 @@
 fn a_takeover_raises_the_fencing_number_and_the_old_one_fails() {
     let (mut first, mut second) = (candidate("entry-1"), candidate("entry-2"));
     let lease = acquire(&mut first, None, seconds(0));
-    second.observe(Some(lease.clone()), seconds(0));
+    second.observe(Some(lease.clone()), 0, seconds(0));
     let LeaseStep::Write(next) = second.step(seconds(10)) else { panic!("not taken over") };
     second.confirm_write(next.clone(), seconds(10));
     let mut guard = FenceGuard::new();
@@ -63,3 +63,16 @@
     assert_eq!(first.fence(seconds(9)), Some(lease.fence));
     assert_eq!(first.fence(seconds(10)), None);
 }
+
+/// The holder of each era believes that it still holds the duty.
+#[test]
+fn a_lease_lost_by_a_restored_store_is_not_granted_with_the_same_number() {
+    let mut numbers = Vec::new();
+    for era in 0..3 {
+        let mut candidate = candidate(&format!("entry-{era}"));
+        candidate.observe(None, era, seconds(era));
+        let LeaseStep::Write(lease) = candidate.step(seconds(era)) else { panic!("not acquired") };
+        numbers.push(lease.fence);
+    }
+    assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]), "{numbers:?}");
+}
--- a/crates/bw-entry/src/planner.rs
+++ b/crates/bw-entry/src/planner.rs
@@ -10,7 +10,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bw_duty::Lease;
 use bw_duty::LeaseCandidate;
 use bw_duty::LeaseStep;
 use bw_expert::policy::Plan;
@@ -23,7 +22,7 @@
 use bw_model::fleet::Endpoint;
 use bw_model::hash::rendezvous_order;
 use bw_model::Fence;
-use bw_platform::Object;
+use bw_platform::LeaseObject;
 use bw_platform::Purpose;
 use bw_platform::Store;
 use bw_platform::StoreError;
@@ -37,8 +36,6 @@
 use crate::decisions::Decisions;
 use crate::members::Members;
 
-/// Kind of the lease objects in the object store.
-const LEASE_KIND: &str = "leases";
 /// Length of a lease term, in plan intervals.
 const TERM_INTERVALS: u32 = 6;
 /// Additional delay of each later candidate before it tries to take the lease, in plan intervals.
@@ -73,8 +70,7 @@
 struct PlannedGroup {
     candidate: LeaseCandidate,
     planner: Planner,
-    /// Revision of the lease object as last read or written; 0 if the object does not exist.
-    revision: u64,
+    lease: LeaseObject,
 }
 
 impl PlanService {
@@ -119,7 +115,7 @@
                 PlannedGroup {
                     candidate: LeaseCandidate::new(self.instance.clone(), term, delay),
                     planner: Planner::new(tuning),
-                    revision: 0,
+                    lease: LeaseObject::new(format!("plan-{name}")),
                 }
             });
             planned.planner.set_tuning(tuning);
@@ -137,19 +133,14 @@
         group: &str,
         planned: &mut PlannedGroup,
     ) -> Result<Option<Fence>, StoreError> {
-        let name = format!("plan-{group}");
         let now = self.members.now();
         if planned.candidate.fence(now).is_none() {
-            let object = self.store.get(Purpose::Lease, LEASE_KIND, &name).await?;
-            planned.revision = object.as_ref().map_or(0, |object| object.revision);
-            let lease = object.map(|object| object.content::<Lease>()).transpose()?;
-            planned.candidate.observe(lease, now);
+            let lease = planned.lease.read(&self.store, Purpose::Lease).await?;
+            planned.candidate.observe(lease, planned.lease.era(), now);
         }
         if let LeaseStep::Write(lease) = planned.candidate.step(now) {
-            let object = Object::new(LEASE_KIND, &name, planned.revision, &lease)?;
-            match self.store.put(Purpose::Lease, &object).await {
-                Ok(written) => {
-                    planned.revision = written.revision;
+            match planned.lease.write(&self.store, &lease).await {
+                Ok(true) => {
                     let fence = lease.fence;
                     let line = format!(
                         "event=lease_written group={group} holder={} fence={fence} renewal={}",
@@ -158,10 +149,10 @@
                     self.decisions.record(group, line);
                     planned.candidate.confirm_write(lease, now);
                 }
-                // Another entry has written the lease, or the answer to this entry's write was
-                // lost. The lease is read again at the next interval.
-                Err(StoreError::Conflict | StoreError::Unknown(_)) => {
-                    planned.candidate.observe(None, now);
+                // Another entry has written the lease, the answer to this entry's write was lost, or
+                // the store was restored. The lease is read again at the next interval.
+                Ok(false) | Err(StoreError::Conflict | StoreError::Unknown(_)) => {
+                    planned.candidate.observe(None, planned.lease.era(), now);
                 }
                 Err(error) => return Err(error),
             }
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -149,7 +149,7 @@
         let next = Lease { holder: self.instance.clone(), fence, renewal: 0 };
         let object = Object::new(LEASE_KIND, LEASE_NAME, revision, &next)?;
         match self.store.put_in_era(Purpose::Lease, &object).await {
-            Ok(written) if written == era => Ok(Some(fence)),
+            Ok((_, written)) if written == era => Ok(Some(fence)),
             // The revision was given out again; another holder may have the number.
             Ok(_) => Ok(None),
             Err(StoreError::Conflict) => Ok(None),
--- a/crates/bw-platform/src/lib.rs
+++ b/crates/bw-platform/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod claims;
 pub mod config;
 pub mod error;
+pub mod leases;
 pub mod store;
 
 pub use budget::Budget;
@@ -13,4 +14,5 @@
 pub use bw_adapter::Object;
 pub use config::ConfigStore;
 pub use error::StoreError;
+pub use leases::LeaseObject;
 pub use store::Store;
--- a/crates/bw-platform/src/store.rs
+++ b/crates/bw-platform/src/store.rs
@@ -74,12 +74,16 @@
         self.call(purpose, self.client.get_in_era(kind, name)).await
     }
 
-    /// Writes as [`Store::put`] does. Returns the era of the store in which the write took effect: a
+    /// Writes as [`Store::put`] does. Returns also the era of the store in which the write took effect: a
     /// revision that was read in another era may name other contents.
     ///
     /// # Errors
     /// As [`Store::put`].
-    pub async fn put_in_era(&self, purpose: Purpose, object: &Object) -> Result<u64, StoreError> {
+    pub async fn put_in_era(
+        &self,
+        purpose: Purpose,
+        object: &Object,
+    ) -> Result<(Object, u64), StoreError> {
         self.call(purpose, self.client.put_in_era(object)).await
     }
 
