Watch the entries' configuration from positions, which name the era of the store

After a restore an entry that watches the store did not see the next configuration: it waited for a revision above the one it knew, which the restored store reaches only after as many changes as it has lost. Class: a bare revision is compared over eras.

The watch is from a position; in another era the object is read instead, first as the older copy has it.

--- a/crates/bw-entry/src/config.rs
+++ b/crates/bw-entry/src/config.rs
@@ -17,6 +17,7 @@
 use bw_link::Pool;
 use bw_model::hash::rendezvous_order;
 use bw_model::Fleet;
+use bw_model::Position;
 use bw_model::Version;
 use bw_platform::config::HeadRead;
 use bw_platform::ConfigStore;
@@ -199,22 +200,22 @@
 
     async fn follow(&self, members: &Members, seeds: &[SocketAddr]) {
         let mut backoff = BACKOFF_MIN;
-        let mut revision = 0;
+        let mut position = None;
         loop {
             if self.current().is_none() {
                 for seed in seeds {
                     self.fetch(*seed).await;
                 }
             } else if !self.is_watcher(members) {
-                revision = 0;
+                position = None;
                 tokio::time::sleep(IDLE_INTERVAL).await;
                 continue;
             }
-            match self.follow_store(&mut revision).await {
+            match self.follow_store(&mut position).await {
                 Ok(()) => backoff = BACKOFF_MIN,
                 Err(error) => {
                     warn!("event=platform_unread reason=\"{error}\"");
-                    revision = 0;
+                    position = None;
                     // Jitter spreads the calls of many processes when the store recovers from an
                     // outage.
                     let jitter = 0.5 + rand::random::<f64>();
@@ -225,13 +226,12 @@
         }
     }
 
-    /// Reads the head object, or waits for a newer one if `revision` is not 0, and accepts the
-    /// configuration that the head refers to. `revision` is the last revision read.
-    async fn follow_store(&self, revision: &mut u64) -> Result<(), StoreError> {
-        let read = if *revision == 0 {
-            Some(self.store.head().await?)
-        } else {
-            self.store.watch(*revision, WATCH_WAIT).await?
+    /// Reads the head object, or waits for one after `position`, and accepts the configuration that the
+    /// head refers to. `position` is that of the last head read.
+    async fn follow_store(&self, position: &mut Option<Position>) -> Result<(), StoreError> {
+        let read = match *position {
+            None => Some(self.store.head().await?),
+            Some(position) => self.store.watch(position, WATCH_WAIT).await?,
         };
         let Some(read) = read else { return Ok(()) };
         if read.revision == 0 {
@@ -239,7 +239,7 @@
             return Ok(());
         }
         self.read_document(&read).await?;
-        *revision = read.revision;
+        *position = Some(read.position());
         Ok(())
     }
 
--- a/crates/bw-platform/src/config.rs
+++ b/crates/bw-platform/src/config.rs
@@ -9,6 +9,7 @@
 
 use bw_adapter::Object;
 use bw_conf::Document;
+use bw_model::Position;
 use bw_model::Version;
 use serde::Deserialize;
 use serde::Serialize;
@@ -49,6 +50,15 @@
     pub head: Head,
     /// Revision of the head object; 0 when it does not exist.
     pub revision: u64,
+    /// Era of the store in which the head was read.
+    pub era: u64,
+}
+
+impl HeadRead {
+    /// Returns the position of the head, after which a watch returns newer ones.
+    pub fn position(&self) -> Position {
+        Position::new(self.era, self.revision)
+    }
 }
 
 /// Outcome of an attempt to accept a configuration.
@@ -77,17 +87,23 @@
     /// # Errors
     /// Any [`StoreError`] of the read.
     pub async fn head(&self) -> Result<HeadRead, StoreError> {
-        let object = self.store.get(Purpose::Read, HEAD_KIND, HEAD_NAME).await?;
-        object.map_or(Ok(HeadRead::default()), |object| decode_head(&object))
+        let (object, era) = self.store.get_in_era(Purpose::Read, HEAD_KIND, HEAD_NAME).await?;
+        object
+            .map_or(Ok(HeadRead { era, ..HeadRead::default() }), |object| decode_head(&object, era))
     }
 
-    /// Waits for a head newer than revision `after`; `None` when `wait` ends first.
+    /// Waits for a head after `position`; `None` when `wait` ends first. The first head of a later era is
+    /// that of the older copy.
     ///
     /// # Errors
     /// Any [`StoreError`] of the watch.
-    pub async fn watch(&self, after: u64, wait: Duration) -> Result<Option<HeadRead>, StoreError> {
-        let object = self.store.watch(HEAD_KIND, HEAD_NAME, after, wait).await?;
-        object.map(|object| decode_head(&object)).transpose()
+    pub async fn watch(
+        &self,
+        position: Position,
+        wait: Duration,
+    ) -> Result<Option<HeadRead>, StoreError> {
+        let found = self.store.watch(HEAD_KIND, HEAD_NAME, position, wait).await?;
+        found.map(|(object, era)| decode_head(&object, era)).transpose()
     }
 
     /// Reads all parts of a head and joins them.
@@ -213,8 +229,8 @@
     }
 }
 
-fn decode_head(object: &Object) -> Result<HeadRead, StoreError> {
-    Ok(HeadRead { head: object.content()?, revision: object.revision })
+fn decode_head(object: &Object, era: u64) -> Result<HeadRead, StoreError> {
+    Ok(HeadRead { head: object.content()?, revision: object.revision, era })
 }
 
 fn part_name(part: &Document) -> Result<String, StoreError> {
--- a/crates/bw-platform/src/store.rs
+++ b/crates/bw-platform/src/store.rs
@@ -167,35 +167,41 @@
         self.call(Purpose::Watch, self.client.watch(kind, position, wait)).await
     }
 
-    /// Waits for a change of one object after `revision`; `None` when `wait` ends first.
+    /// Waits for a change of one object after `position`; `None` when `wait` ends first. Returns the
+    /// object with the era in which it was read.
     ///
-    /// Reads the object instead when the changes after `revision` are no longer kept.
+    /// Reads the object instead when the changes after `position` are no longer kept, or the store is in
+    /// another era.
     ///
     /// # Errors
-    /// Any [`StoreError`] of the watch or the read.
+    /// Any [`StoreError`] of the watch or the read; [`StoreError::HistoryGone`] if the object does not
+    /// exist in the later era.
     pub async fn watch(
         &self,
         kind: &str,
         name: &str,
-        revision: u64,
+        position: Position,
         wait: Duration,
-    ) -> Result<Option<Object>, StoreError> {
+    ) -> Result<Option<(Object, u64)>, StoreError> {
         let deadline = Instant::now() + wait;
-        let mut after = revision;
+        let mut after = position;
         loop {
             let remaining = deadline.saturating_duration_since(Instant::now());
-            let watch = self.client.watch_revision(kind, Position::new(0, after), remaining);
-            let changes = match self.call(Purpose::Watch, watch).await {
+            let changes = match self.watch_kind(kind, after, remaining).await {
                 Err(StoreError::HistoryGone) => {
-                    let object = self.get(Purpose::Read, kind, name).await?;
-                    return Ok(object.filter(|object| object.revision > revision));
+                    let (object, era) = self.get_in_era(Purpose::Read, kind, name).await?;
+                    if era != position.era() && object.is_none() {
+                        return Err(StoreError::HistoryGone);
+                    }
+                    let newer = |object: &Object| Position::new(era, object.revision) > position;
+                    return Ok(object.filter(newer).map(|object| (object, era)));
                 }
                 changes => changes?,
             };
-            after = changes.revision;
+            after = changes.position();
             let mut events = changes.events.into_iter().filter(|event| event.object.name == name);
             if let Some(event) = events.next_back() {
-                return Ok(Some(event.object));
+                return Ok(Some((event.object, after.era())));
             }
             if Instant::now() >= deadline {
                 return Ok(None);
