Give no version of the entries' configuration out again after a restore

A configuration that was applied after a restore could never come into force: it got the number of a version that the store had lost and that entries had in force, and these ignore what is not newer. Class: a number that a restored store hands out again.

The head names the era in which it was accepted; for each restore since then bwctl skips 1,000 versions, more than can be lost with a copy that is some seconds old, and accepts files again that the copy already shows. A change during which the store is restored fails with the advice to apply it again. Weighed: asking entries for the highest version, which misses those that cannot be reached.

a_version_that_a_restored_store_has_lost_is_not_given_to_another_configuration failed before with 2 after 4.

--- a/crates/bw-ctl/src/commands/apply.rs
+++ b/crates/bw-ctl/src/commands/apply.rs
@@ -68,7 +68,9 @@
         }
         let accepted = store.document(&read.head).await?;
         let started = Instant::now();
-        let (version, mut output) = if accepted == files.document && read.revision != 0 {
+        // Processes may have a later version in force that a restored store has lost.
+        let is_accepted = read.revision != 0 && !read.is_restored();
+        let (version, mut output) = if accepted == files.document && is_accepted {
             let version = read.head.version;
             (version, format!("nothing to change; version {version} is accepted"))
         } else {
--- a/crates/bw-platform/src/config.rs
+++ b/crates/bw-platform/src/config.rs
@@ -27,6 +27,9 @@
 pub const PART_COUNT: usize = 64;
 /// Number of versions for which replaced parts are kept for readers of older heads.
 const RETIRED_VERSIONS: u64 = 16;
+/// Versions that are skipped for each time that the store has returned from an older copy, which may have
+/// lost as many.
+const RESTORE_GAP: u64 = 1_000;
 /// Maximum size of a part, in bytes. The platform's limit of one megabyte also covers the envelope.
 const PART_BYTES_MAX: usize = 900_000;
 
@@ -41,6 +44,9 @@
     pub parts: Vec<String>,
     /// Names of replaced parts, with the version that replaced each.
     pub retired: Vec<(String, Version)>,
+    /// Era of the store in which the version was accepted.
+    #[serde(default)]
+    pub era: u64,
 }
 
 /// The head as read, with the revision for the next conditional write.
@@ -59,6 +65,18 @@
     pub fn position(&self) -> Position {
         Position::new(self.era, self.revision)
     }
+
+    /// Returns whether the store was restored since the head was accepted, so that later versions may
+    /// have been lost.
+    pub fn is_restored(&self) -> bool {
+        self.revision != 0 && self.head.era < self.era
+    }
+
+    /// Returns a version that no other configuration has had.
+    fn next_version(&self) -> Version {
+        let restores = if self.is_restored() { self.era - self.head.era } else { 0 };
+        Version(self.head.version.0 + (RESTORE_GAP * restores).max(1))
+    }
 }
 
 /// Outcome of an attempt to accept a configuration.
@@ -144,13 +162,18 @@
     /// when nothing was accepted.
     pub async fn apply(&self, document: &Document, read: &HeadRead) -> Result<Applied, StoreError> {
         let parts = self.write_parts(document, &read.head).await?;
-        let version = Version(read.head.version.0 + 1);
+        let version = read.next_version();
         let (retired, expired) = retire(&read.head, &parts, version);
         let nonce = Uuid::new_v4().to_string();
-        let head = Head { version, nonce: nonce.clone(), parts, retired };
+        let head = Head { version, nonce: nonce.clone(), parts, retired, era: read.era };
         let object = Object::new(HEAD_KIND, HEAD_NAME, read.revision, &head)?;
-        let applied = match self.store.put(Purpose::Write, &object).await {
-            Ok(_) => Applied::Accepted(version),
+        let applied = match self.store.put_in_era(Purpose::Write, &object).await {
+            Ok((_, era)) if era == read.era => Applied::Accepted(version),
+            // The version may have been given to a configuration that is lost.
+            Ok(_) => {
+                let reason = "the store was restored meanwhile; apply the configuration again";
+                return Err(StoreError::Unknown(reason.to_string()));
+            }
             Err(StoreError::Conflict | StoreError::Unknown(_)) => {
                 self.resolve_outcome(&nonce, version).await?
             }
--- a/crates/bw-platform/tests/config.rs
+++ b/crates/bw-platform/tests/config.rs
@@ -27,6 +27,26 @@
     }
 }
 
+/// Processes that have the lost version in force would take the other one for the same.
+#[tokio::test]
+async fn a_version_that_a_restored_store_has_lost_is_not_given_to_another_configuration() {
+    let rig = StoreRig::start().await;
+    let config = ConfigStore::new(rig.store.clone());
+    assert_eq!(apply(&config, "first").await, Version(1));
+    let copy = rig.platform.snapshot();
+    let mut lost = Version(1);
+    for text in ["second", "third", "fourth"] {
+        lost = apply(&config, text).await;
+    }
+    assert_eq!(lost, Version(4));
+    rig.platform.restore(copy.clone());
+    let next = apply(&config, "fifth").await;
+    assert!(next > lost, "{next} after {lost}");
+    assert_eq!(apply(&config, "sixth").await.0, next.0 + 1);
+    rig.platform.restore(copy);
+    assert!(apply(&config, "seventh").await.0 > next.0 + 1);
+}
+
 /// The revisions of the restored store are below the one that is watched from.
 #[tokio::test]
 async fn a_configuration_accepted_after_a_restore_is_seen_by_a_watch_from_before() {
