--- a/crates/bw-direct/tests/fleet_budget.rs
+++ b/crates/bw-direct/tests/fleet_budget.rs
@@ -3,18 +3,16 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
-use std::net::SocketAddr;
+mod common;
+
 use std::time::Duration;
 
 use bw_direct::budget::Allowance;
 use bw_direct::budget::RetryBudget;
 use bw_direct::peers::News;
-use bw_direct::peers::PeerAddress;
 use bw_direct::peers::Peers;
-use bw_member::PeerState;
-use bw_model::Incarnation;
-use bw_model::Position;
-use bw_model::Version;
+use common::address;
+use common::news;
 use rand::rngs::SmallRng;
 use rand::Rng;
 use rand::SeedableRng;
@@ -66,16 +64,6 @@
     Duration::from_millis(millis)
 }
 
-fn address(name: &str) -> PeerAddress {
-    let socket = SocketAddr::from(([127, 0, 0, 1], 1));
-    PeerAddress {
-        instance: name.to_string(),
-        centre: "a".to_string(),
-        callers: socket,
-        news: socket,
-    }
-}
-
 impl Fleet {
     fn new(count: usize, seed: u64) -> Self {
         let names: Vec<String> = (0..count).map(|number| format!("gateway-{number}")).collect();
@@ -189,27 +177,7 @@
 
     fn news(&self, number: usize, leaving: bool, now: u64) -> News {
         let gateway = &self.gateways[number];
-        let state = PeerState {
-            instance: gateway.name.clone(),
-            incarnation: Incarnation(gateway.incarnation),
-            seq: now + 1 + u64::from(leaving),
-            leaving,
-            version: Version(1),
-        };
-        News {
-            state,
-            address: address(&gateway.name),
-            stamp: 1,
-            ready: !leaving,
-            proof: None,
-            store: None,
-            listing: Position::default(),
-            duty: None,
-            paces: Vec::new(),
-            works: Vec::new(),
-            suspects: Vec::new(),
-            others: Vec::new(),
-        }
+        news(&gateway.name, gateway.incarnation, now + 1 + u64::from(leaving), leaving)
     }
 
     /// Returns, of all windows, the most that arrived beyond what was allowed; negative if none exceeded it.
--- a/crates/bw-direct/tests/peers.rs
+++ b/crates/bw-direct/tests/peers.rs
@@ -2,16 +2,13 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
-use std::net::SocketAddr;
+mod common;
+
 use std::time::Duration;
 
-use bw_direct::peers::News;
-use bw_direct::peers::PeerAddress;
 use bw_direct::peers::Peers;
-use bw_member::PeerState;
-use bw_model::Incarnation;
-use bw_model::Position;
-use bw_model::Version;
+use common::address;
+use common::news;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -19,39 +16,9 @@
     Duration::from_secs(seconds)
 }
 
-fn address(instance: &str) -> PeerAddress {
-    let socket = SocketAddr::from(([127, 0, 0, 1], 1));
-    PeerAddress {
-        instance: instance.to_string(),
-        centre: "a".to_string(),
-        callers: socket,
-        news: socket,
-    }
-}
-
 /// Receives news of a peer; `now` also is the number of the news.
 fn hear(peers: &mut Peers, instance: &str, leaving: bool, now: Duration) {
-    let state = PeerState {
-        instance: instance.to_string(),
-        incarnation: Incarnation(1),
-        seq: now.as_secs() + 1,
-        leaving,
-        version: Version(1),
-    };
-    let news = News {
-        state,
-        address: address(instance),
-        stamp: 1,
-        ready: !leaving,
-        proof: None,
-        store: None,
-        listing: Position::default(),
-        duty: None,
-        paces: Vec::new(),
-        works: Vec::new(),
-        suspects: Vec::new(),
-        others: Vec::new(),
-    };
+    let news = news(instance, 1, now.as_secs() + 1, leaving);
     peers.receive(&news, now);
     peers.forget_gone(WINDOW, now);
 }
--- a/crates/bw-gateway/tests/restore.rs
+++ b/crates/bw-gateway/tests/restore.rs
@@ -212,6 +212,19 @@
     draft
 }
 
+/// Returns a gateway that cannot reach the store, which has lost the revocation of the key. The revocation
+/// was accepted so long ago that the key must open nothing.
+async fn start_with_lost_revocation() -> Rig {
+    let rig = Rig::start(&[ok_answer()]).await;
+    let snapshot = rig.platform.snapshot();
+    rig.platform.set_faults(Faults { down: true, ..Faults::default() });
+    rig.configure(&revoked());
+    let revoked_by = Instant::now() + rig.settings.revoke;
+    rig.platform.restore(snapshot);
+    tokio::time::sleep_until(revoked_by.into()).await;
+    rig
+}
+
 /// Calls the gateway until `until`, and returns whether the key has opened anything.
 async fn opens_until(rig: &Rig, until: Instant) -> bool {
     let mut opened = false;
@@ -226,13 +239,7 @@
 /// configuration that the gateway has in force, as if it were the newest.
 #[tokio::test]
 async fn a_key_whose_revocation_a_restored_store_has_lost_opens_nothing() {
-    let rig = Rig::start(&[ok_answer()]).await;
-    let snapshot = rig.platform.snapshot();
-    rig.platform.set_faults(Faults { down: true, ..Faults::default() });
-    rig.configure(&revoked());
-    let revoked_by = Instant::now() + rig.settings.revoke;
-    rig.platform.restore(snapshot);
-    tokio::time::sleep_until(revoked_by.into()).await;
+    let rig = start_with_lost_revocation().await;
     rig.platform.set_faults(Faults::default());
     assert!(!opens_until(&rig, Instant::now() + REWRITE).await);
     rig.configure(&revoked());
@@ -243,13 +250,7 @@
 /// The other gateway has started after the restore and takes what the store shows for the newest.
 #[tokio::test]
 async fn a_proof_of_a_gateway_that_knows_only_the_restored_store_opens_nothing() {
-    let rig = Rig::start(&[ok_answer()]).await;
-    let snapshot = rig.platform.snapshot();
-    rig.platform.set_faults(Faults { down: true, ..Faults::default() });
-    rig.configure(&revoked());
-    let revoked_by = Instant::now() + rig.settings.revoke;
-    rig.platform.restore(snapshot);
-    tokio::time::sleep_until(revoked_by.into()).await;
+    let rig = start_with_lost_revocation().await;
     let started = rig.start_with_faults("gateway-2", Faults::default()).await;
     let rewritten = Instant::now() + REWRITE;
     assert!(!opens_until(&rig, rewritten).await);
