Take a limit for ended only by an endpoint's own answer to the request

Found on reading the change: a rejection without the header, or an answer to an earlier request that comes late on a kept connection, ended a limit at all gateways until the next answer named it again. The head of an answer now says what it tells of the limit.

--- a/crates/bw-direct/src/limits.rs
+++ b/crates/bw-direct/src/limits.rs
@@ -58,6 +58,17 @@
     }
 }
 
+/// What an answer of an endpoint says about the endpoint's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Statement {
+    /// The endpoint names a limit.
+    Named(Rate),
+    /// The endpoint names something that is no limit.
+    Invalid(LimitError),
+    /// The endpoint names no limit.
+    NoLimit,
+}
+
 /// What an endpoint that is or was in need has last told a gateway.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Told {
--- a/crates/bw-direct/src/request.rs
+++ b/crates/bw-direct/src/request.rs
@@ -7,6 +7,7 @@
 
 use crate::limits::LimitError;
 use crate::limits::Rate;
+use crate::limits::Statement;
 
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -114,3 +115,18 @@
     /// Whether the body is an event stream.
     pub events: bool,
 }
+
+impl ReplyHead {
+    /// Returns what the answer to `attempt` says about the endpoint's limit, if anything. A rejection that
+    /// names no limit says nothing, nor does an answer to an earlier request that comes late.
+    pub fn limit_statement(&self, attempt: &str) -> Option<Statement> {
+        if self.attempt.as_deref() != Some(attempt) {
+            return None;
+        }
+        match self.limit {
+            Some(Ok(rate)) => Some(Statement::Named(rate)),
+            Some(Err(error)) => Some(Statement::Invalid(error)),
+            None => self.stamped.then_some(Statement::NoLimit),
+        }
+    }
+}
--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints.rs
@@ -26,7 +26,7 @@
 use bw_direct::limits::LimitNews;
 use bw_direct::limits::Limits;
 use bw_direct::limits::Permission;
-use bw_direct::limits::Rate;
+use bw_direct::limits::Statement;
 use bw_direct::limits::Told;
 use bw_direct::load::Loads;
 use bw_direct::load::Work;
@@ -371,12 +371,12 @@
         self.lock().loads.finish(key, prompt);
     }
 
-    /// Records the limit that the head of an endpoint's answer names, if any, and logs a change. The
-    /// request was sent at `sent_at`.
+    /// Records what an answer of an endpoint says about its limit, and logs a change. The request was sent
+    /// at `sent_at`.
     pub fn record_limit(
         &self,
         key: EndpointKey,
-        named: Option<Result<Rate, LimitError>>,
+        statement: Statement,
         sent_at: Duration,
         now: Duration,
     ) {
@@ -384,17 +384,20 @@
         let state = &mut *state;
         let Some(record) = state.table.get(key) else { return };
         let name = &record.endpoint.name;
-        let ignored = named.and_then(Result::err);
-        if let Some(error) = ignored.filter(|_| state.extras[key.index()].ignored_limit != ignored)
-        {
-            warn!("event=endpoint_limit_ignored endpoint={name} reason=\"{error}\"");
-        }
-        state.extras[key.index()].ignored_limit = ignored;
-        if ignored.is_none() {
-            let rate = named.and_then(Result::ok);
-            let change = state.limits.record_answer(key, name, rate, sent_at, now);
-            log_limit(name, change, "answer");
-        }
+        let ignored = &mut state.extras[key.index()].ignored_limit;
+        let rate = match statement {
+            Statement::Named(rate) => Some(rate),
+            Statement::NoLimit => None,
+            Statement::Invalid(error) => {
+                if ignored.replace(error) != Some(error) {
+                    warn!("event=endpoint_limit_ignored endpoint={name} reason=\"{error}\"");
+                }
+                return;
+            }
+        };
+        *ignored = None;
+        let change = state.limits.record_answer(key, name, rate, sent_at, now);
+        log_limit(name, change, "answer");
     }
 
     /// Applies the limits that endpoints have named to a peer; unknown endpoints are ignored.
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -247,7 +247,9 @@
         };
         let (parts, body) = response.into_parts();
         let reply = decode_reply(&parts);
-        self.endpoints.record_limit(placed.chosen.key, reply.limit, sent_at, self.clock.now());
+        if let Some(statement) = reply.limit_statement(&job.head.attempt) {
+            self.endpoints.record_limit(placed.chosen.key, statement, sent_at, self.clock.now());
+        }
         self.check_reply(job, placed, &reply)?;
         if reply.events && parts.status.is_success() {
             return read_first_events(placed, reply, parts, body).await;
