Apply claims again that a restored store has lost

A request that may run once could run twice: its claim was acknowledged, the store returned from a copy without it, and the repeat of the call claimed the key anew. Class: what a store has acknowledged is taken for lasting.

The entry that writes a shard's claims remembers them for a minute and applies them again when it reads the shard in a later era, before it decides; the lost ones are then written with the next head. A write that takes effect in another era than its read counts as unknown, so that the claim is read. a_claim_that_a_restored_store_has_lost_is_not_granted_again failed before (the second attempt got the key). Not covered: claims whose entry has ended as well.

--- a/crates/bw-once/src/shard.rs
+++ b/crates/bw-once/src/shard.rs
@@ -95,6 +95,16 @@
         self.sealed.insert(name, claims);
     }
 
+    /// Returns the head, with the changes that were applied again.
+    pub fn head(&self) -> &ShardHead {
+        &self.head
+    }
+
+    /// Applies a change that a restored store has lost, unless the key has been claimed otherwise since.
+    pub fn reapply(&mut self, change: &Change) {
+        self.change(change);
+    }
+
     /// Returns true if all sealed objects are present. Otherwise no change may be decided.
     pub fn is_complete(&self) -> bool {
         self.head.sealed.iter().all(|sealed| self.sealed.contains_key(&sealed.name))
--- a/crates/bw-platform/src/claims.rs
+++ b/crates/bw-platform/src/claims.rs
@@ -1,5 +1,8 @@
 //! Shards of idempotency claims in the object store. Concurrent changes of a shard are batched into
 //! one conditional write.
+//!
+//! A store that returns from an older copy of itself has lost the last claims, whose requests may have run.
+//! The process that wrote them applies them again before it decides about any other change.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -19,6 +22,7 @@
 use bw_once::Claim;
 use tokio::sync::oneshot;
 use tokio::sync::Mutex;
+use tokio::time::Instant;
 
 use crate::budget::Purpose;
 use crate::error::StoreError;
@@ -31,6 +35,9 @@
 /// Number of conflicting writes of a batch after which its changes fail as unavailable.
 const CONFLICTS_MAX: u32 = 8;
 
+/// Time for which a written change is remembered; longer than the age of a copy that a store returns from.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
 /// A queued change and the channel for its result.
 struct QueuedChange {
     change: Change,
@@ -51,6 +58,52 @@
     /// Revision of the head object, 0 when it does not exist; `None` when the shard must be read
     /// before the next write.
     head_revision: Option<u64>,
+    /// Era of the store in which the shard was last read.
+    era: u64,
+    /// Changes that this process has written, in their order.
+    written: VecDeque<WrittenChange>,
+}
+
+/// A change that took effect in the store.
+struct WrittenChange {
+    change: Change,
+    /// Era of the store in which the change took effect, or was applied again.
+    era: u64,
+    written_at: Instant,
+}
+
+impl CachedShard {
+    /// Returns whether the store has returned from an older copy since changes were written that it may
+    /// have lost.
+    fn has_lost(&self) -> bool {
+        self.written.iter().any(|written| written.era < self.era)
+    }
+
+    /// Applies the changes again that the store may have lost.
+    fn reapply_lost(&mut self) {
+        self.forget_old();
+        for written in self.written.iter().filter(|written| written.era < self.era) {
+            self.shard.reapply(&written.change);
+        }
+    }
+
+    /// Remembers the changes of a batch that was written, with those that were applied again in it.
+    fn record_written(&mut self, changes: &[Change], results: &[Swap]) {
+        self.written.iter_mut().for_each(|written| written.era = self.era);
+        let done = changes.iter().zip(results).filter(|(_, result)| **result == Swap::Done);
+        let (era, written_at) = (self.era, Instant::now());
+        let done =
+            done.map(|(change, _)| WrittenChange { change: change.clone(), era, written_at });
+        self.written.extend(done);
+        self.forget_old();
+    }
+
+    fn forget_old(&mut self) {
+        let is_old = |written: &WrittenChange| written.written_at.elapsed() >= REMEMBERED;
+        while self.written.front().is_some_and(is_old) {
+            self.written.pop_front();
+        }
+    }
 }
 
 /// The claims of all shards.
@@ -122,7 +175,10 @@
             let retention = self.retention.as_millis() as u64;
             let batch = cached.shard.batch(shard, changes, unix_millis(), retention);
             match self.write(shard, cached, &batch).await {
-                Ok(()) => return batch.results,
+                Ok(()) => {
+                    cached.record_written(changes, &batch.results);
+                    return batch.results;
+                }
                 Err(StoreError::Conflict) => cached.head_revision = None,
                 Err(StoreError::Unknown(reason)) => {
                     log::warn!("event=claims_unsettled shard={shard} reason=\"{reason}\"");
@@ -144,7 +200,8 @@
         cached: &mut CachedShard,
         batch: &Batch,
     ) -> Result<(), StoreError> {
-        let Some(head) = &batch.head else {
+        let lost = cached.has_lost().then(|| cached.shard.head().clone());
+        let Some(head) = batch.head.clone().or(lost) else {
             // No change of the batch applies, provided that the cached shard is current.
             return self.confirm(shard, cached).await;
         };
@@ -153,21 +210,25 @@
             self.store.create(Purpose::Claim, &object).await.map_err(without_effect)?;
         }
         let revision = cached.head_revision.unwrap_or_default();
-        let object = Object::new(HEAD_KIND, &shard_name(shard), revision, head)?;
-        let written = self.store.put(Purpose::Claim, &object).await?;
+        let object = Object::new(HEAD_KIND, &shard_name(shard), revision, &head)?;
+        let (written, era) = self.store.put_in_era(Purpose::Claim, &object).await?;
+        if era != cached.era {
+            // The revision was given out again, so that the write may have replaced other claims.
+            return Err(StoreError::Unknown("the store was restored meanwhile".to_string()));
+        }
         if let Some((name, claims)) = &batch.seal {
             cached.shard.set_sealed(name.clone(), claims.clone());
         }
-        cached.shard.set_head(head.clone());
+        cached.shard.set_head(head);
         cached.head_revision = Some(written.revision);
         Ok(())
     }
 
     /// Reads the shard again, and returns a conflict if the head has changed since the last read.
     async fn confirm(&self, shard: u32, cached: &mut CachedShard) -> Result<(), StoreError> {
-        let before = cached.head_revision;
+        let before = (cached.head_revision, cached.era);
         self.refresh(shard, cached).await?;
-        if cached.head_revision == before {
+        if (cached.head_revision, cached.era) == before {
             Ok(())
         } else {
             Err(StoreError::Conflict)
@@ -175,7 +236,8 @@
     }
 
     async fn refresh(&self, shard: u32, cached: &mut CachedShard) -> Result<(), StoreError> {
-        let object = self.store.get(Purpose::Claim, HEAD_KIND, &shard_name(shard)).await?;
+        let name = shard_name(shard);
+        let (object, era) = self.store.get_in_era(Purpose::Claim, HEAD_KIND, &name).await?;
         let (head, revision) = match object {
             Some(object) => (object.content()?, object.revision),
             None => (ShardHead::default(), 0),
@@ -186,6 +248,8 @@
             cached.shard.set_sealed(name, claims);
         }
         cached.head_revision = cached.shard.is_complete().then_some(revision);
+        cached.era = era;
+        cached.reapply_lost();
         Ok(())
     }
 }
