Read a shard of claims again when the store lacks it

After a restore to before a shard's first claim, the process that had written it could claim nothing in that shard any more: it went on replacing an object that did not exist. Class: a cached revision outlives the store that gave it. claims_go_on_in_a_restored_store_that_lacks_their_shard failed before (unavailable).

--- a/crates/bw-platform/src/claims.rs
+++ b/crates/bw-platform/src/claims.rs
@@ -179,7 +179,8 @@
                     cached.record_written(changes, &batch.results);
                     return batch.results;
                 }
-                Err(StoreError::Conflict) => cached.head_revision = None,
+                // A restored store may not have the head at all.
+                Err(StoreError::Conflict | StoreError::Absent) => cached.head_revision = None,
                 Err(StoreError::Unknown(reason)) => {
                     log::warn!("event=claims_unsettled shard={shard} reason=\"{reason}\"");
                     cached.head_revision = None;
@@ -187,6 +188,7 @@
                 }
                 Err(error) => {
                     log::warn!("event=claims_unwritten shard={shard} reason=\"{error}\"");
+                    cached.head_revision = None;
                     return vec![Swap::Unavailable; changes.len()];
                 }
             }
--- a/crates/bw-platform/tests/claims.rs
+++ b/crates/bw-platform/tests/claims.rs
@@ -72,3 +72,15 @@
     assert_eq!(first.read(KEY).await.unwrap(), Some(claim(3)));
     assert_eq!(swap(&first, KEY, 4).await, Swap::Mismatch(Some(claim(3))));
 }
+
+/// The copy is older than the first claim of the shard.
+#[tokio::test]
+async fn claims_go_on_in_a_restored_store_that_lacks_their_shard() {
+    let rig = StoreRig::start().await;
+    let claims = claims(rig.store.clone());
+    let copy = rig.platform.snapshot();
+    assert_eq!(swap(&claims, KEY, 1).await, Swap::Done);
+    rig.platform.restore(copy);
+    assert_eq!(swap(&claims, OTHER_KEY, 2).await, Swap::Done);
+    assert_eq!(claims.read(KEY).await.unwrap(), Some(claim(1)));
+}
