Tell operators that the store was restored after the configuration was accepted

bwctl show printed the older copy's configuration as the accepted one, while later versions may be in force. The test failed before the line was there.

--- a/crates/bw-ctl/src/commands/show.rs
+++ b/crates/bw-ctl/src/commands/show.rs
@@ -12,6 +12,10 @@
 use crate::error::CtlError;
 use crate::files::open_store;
 
+/// Printed when the store may have lost a later version.
+const RESTORED: &str = "# The store was restored after this version was accepted. Later versions may be lost \
+                        but still in force;\n# see `bwctl status`, and apply the configuration again.\n";
+
 /// print the accepted configuration
 #[derive(FromArgs, Debug)]
 #[argh(subcommand, name = "show")]
@@ -30,6 +34,11 @@
         let store = open_store(&self.platform)?;
         let read = store.head().await?;
         let document = store.document(&read.head).await?;
-        Ok(format!("# version {}\n{}", read.head.version, document.to_text().trim_end()))
+        let mut output = format!("# version {}\n", read.head.version);
+        if read.is_restored() {
+            output.push_str(RESTORED);
+        }
+        output.push_str(document.to_text().trim_end());
+        Ok(output)
     }
 }
