Split the gateway's table of endpoints by job

Lines are moved only: sorted and without imports, old and new differ in three further impl blocks and their ends.

--- a/crates/bw-gateway/src/endpoints.rs
+++ b/crates/bw-gateway/src/endpoints/mod.rs
@@ -1,6 +1,10 @@
 //! The table of endpoints that the gateway's services share, with the load, the health and the
 //! idle connections of each endpoint.
 
+mod idle;
+mod limits;
+mod paces;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,24 +17,15 @@
 use bw_direct::endpoint::Endpoint;
 use bw_direct::endpoint::EndpointChange;
 use bw_direct::endpoint::EndpointKey;
-use bw_direct::endpoint::EndpointRecord;
-use bw_direct::endpoint::EndpointState;
 use bw_direct::endpoint::Table;
-use bw_direct::evacuation::should_evacuate;
-use bw_direct::evacuation::PACE_LIMIT;
 use bw_direct::health::Counts;
 use bw_direct::health::Health;
 use bw_direct::health::HealthState;
-use bw_direct::limits::LimitChange;
 use bw_direct::limits::LimitError;
-use bw_direct::limits::LimitNews;
 use bw_direct::limits::Limits;
 use bw_direct::limits::Permission;
-use bw_direct::limits::Statement;
-use bw_direct::limits::Told;
 use bw_direct::load::Loads;
 use bw_direct::load::Work;
-use bw_direct::peers::PaceNews;
 use bw_direct::peers::WorkNews;
 use bw_direct::place::assign_home_slots;
 use bw_direct::place::place;
@@ -41,19 +36,11 @@
 use bw_model::hash::rendezvous_weight;
 use bw_model::Key;
 use log::info;
-use log::warn;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
 use crate::placement::PlacementRequest;
 
-/// Upper bound on the idle connections kept to one endpoint.
-const IDLE_MAX: usize = 4;
-/// Idle timeout assumed for an endpoint that does not announce one.
-const IDLE_DEFAULT: Duration = Duration::from_secs(4);
-/// Margin before the idle timeout of an endpoint in which a connection is no longer reused.
-const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
-
 /// Age beyond which a peer's report of slow endpoints is ignored.
 const PACE_AGE_MAX: Duration = Duration::from_millis(2_500);
 
@@ -249,45 +236,6 @@
         self.lock().steps.get(group).is_some_and(|steps| steps.has_jumped(now))
     }
 
-    /// Replaces the slow endpoints that this gateway's planner reports; addresses that are not
-    /// listed are ignored.
-    pub fn set_paces(&self, slow: Vec<(SocketAddr, f64)>) {
-        let mut state = self.lock();
-        if slow.is_empty() && state.local_paces.is_empty() {
-            return;
-        }
-        let table = &state.table;
-        let key = |address: SocketAddr| {
-            let listed = |record: &EndpointRecord| {
-                record.endpoint.address == address && record.state != EndpointState::Gone
-            };
-            table.iter().find(|(_, record)| listed(record)).map(|(key, _)| key)
-        };
-        let paces = slow.into_iter().filter_map(|(at, pace)| Some((key(at)?, pace))).collect();
-        state.local_paces = paces;
-    }
-
-    /// Returns the slow endpoints that this gateway's planner reported, for the news to peers.
-    pub fn pace_news(&self) -> Vec<PaceNews> {
-        let state = self.lock();
-        let paces = state.local_paces.iter();
-        let news = paces.map(|(key, pace)| PaceNews {
-            endpoint: state.extras[key.index()].name_hash,
-            percent: (pace * 100.0) as u32,
-        });
-        news.collect()
-    }
-
-    /// Replaces the slow endpoints reported by the gateway that holds the planning duty.
-    pub fn receive_paces(&self, paces: &[PaceNews], now: Duration) {
-        let mut state = self.lock();
-        let known = paces.iter().filter_map(|news| {
-            Some((*state.by_hash.get(&news.endpoint)?, f64::from(news.percent) / 100.0))
-        });
-        let known = known.collect();
-        state.peer_paces = (now, known);
-    }
-
     /// Selects an endpoint of a service with a free slot and counts the request there; `None` if
     /// no slot is free.
     pub fn place(&self, request: &PlacementRequest, now: Duration) -> Option<ChosenEndpoint> {
@@ -309,28 +257,6 @@
         })
     }
 
-    /// Returns whether streams at an endpoint should move to other endpoints of its group.
-    pub fn should_evacuate(&self, key: EndpointKey, now: Duration) -> bool {
-        let state = self.lock();
-        let pace = state.pace(key, now);
-        if pace < PACE_LIMIT {
-            return false;
-        }
-        let Some(record) = state.table.get(key) else { return false };
-        let Some(member) = &record.endpoint.member else { return false };
-        let (at, peer_paces) = &state.peer_paces;
-        let current = now.saturating_sub(*at) <= PACE_AGE_MAX;
-        let slow = if state.local_paces.is_empty() && current {
-            peer_paces.as_slice()
-        } else {
-            state.local_paces.as_slice()
-        };
-        let in_group = |key: &EndpointKey| state.group_of(*key) == Some(member.group.as_str());
-        let paces: Vec<f64> =
-            slow.iter().filter(|(key, _)| in_group(key)).map(|(_, pace)| *pace).collect();
-        should_evacuate(pace, &paces, usize::from(member.size))
-    }
-
     /// Returns whether a service has endpoints that are not excluded, and that this gateway may send
     /// requests to now or later, whether or not their groups accept requests.
     pub fn serves(&self, service: &str, exclude: &[EndpointKey], now: Duration) -> bool {
@@ -371,61 +297,6 @@
         self.lock().loads.finish(key, prompt);
     }
 
-    /// Records what an answer of an endpoint says about its limit, and logs a change. The request was sent
-    /// at `sent_at`.
-    pub fn record_limit(
-        &self,
-        key: EndpointKey,
-        statement: Statement,
-        sent_at: Duration,
-        now: Duration,
-    ) {
-        let mut state = self.lock();
-        let state = &mut *state;
-        let Some(record) = state.table.get(key) else { return };
-        let name = &record.endpoint.name;
-        let ignored = &mut state.extras[key.index()].ignored_limit;
-        let rate = match statement {
-            Statement::Named(rate) => Some(rate),
-            Statement::NoLimit => None,
-            Statement::Invalid(error) => {
-                if ignored.replace(error) != Some(error) {
-                    warn!("event=endpoint_limit_ignored endpoint={name} reason=\"{error}\"");
-                }
-                return;
-            }
-        };
-        *ignored = None;
-        let change = state.limits.record_answer(key, name, rate, sent_at, now);
-        log_limit(name, change, "answer");
-    }
-
-    /// Applies the limits that endpoints have named to a peer; unknown endpoints are ignored.
-    pub fn receive_limits(&self, news: &[LimitNews], now: Duration) {
-        let mut state = self.lock();
-        let state = &mut *state;
-        for news in news {
-            let key = state.by_hash.get(&news.endpoint).copied();
-            let Some(record) = key.and_then(|key| state.table.get(key)) else { continue };
-            let (Some(key), Ok(told)) = (key, Told::try_from(*news)) else { continue };
-            let change = state.limits.receive(key, &record.endpoint.name, told, now);
-            log_limit(&record.endpoint.name, change, "peer");
-        }
-    }
-
-    /// Returns the limits that endpoints have named to this gateway, for the news to peers.
-    pub fn limit_news(&self, now: Duration) -> Vec<LimitNews> {
-        let state = self.lock();
-        let news = state.limits.news(now).into_iter();
-        news.map(|(key, told)| LimitNews::new(state.extras[key.index()].name_hash, told)).collect()
-    }
-
-    /// Sets the gateways that may have parts of limits, by their instances; none while this gateway may
-    /// have none.
-    pub fn set_part_owners(&self, owners: Vec<String>, now: Duration) {
-        self.lock().limits.set_members(owners, now);
-    }
-
     /// Records a complete answer from an endpoint.
     pub fn record_success(&self, key: EndpointKey, now: Duration) {
         self.lock().health.record_success(key, now);
@@ -463,39 +334,6 @@
         self.lock().table.is_usable(key, now)
     }
 
-    /// Removes and returns an idle connection that is still usable.
-    pub fn take_idle(&self, key: EndpointKey, now: Duration) -> Option<Channel> {
-        let mut state = self.lock();
-        let idle = &mut state.extras[key.index()].idle;
-        while let Some(one) = idle.pop() {
-            if one.channel.is_ready() && now < one.expires_at {
-                return Some(one.channel);
-            }
-        }
-        None
-    }
-
-    /// Stores a connection that can carry another request. `idle_timeout` is the one that the
-    /// endpoint announced.
-    pub fn put_idle(
-        &self,
-        key: EndpointKey,
-        channel: Channel,
-        idle_timeout: Option<Duration>,
-        now: Duration,
-    ) {
-        let expires_at = now + idle_timeout.unwrap_or(IDLE_DEFAULT).saturating_sub(IDLE_MARGIN);
-        let mut state = self.lock();
-        if expires_at <= now || !state.table.is_usable(key, now) {
-            return;
-        }
-        let kept = &mut state.extras[key.index()].idle;
-        kept.retain(|one| now < one.expires_at);
-        if kept.len() < IDLE_MAX {
-            kept.push(IdleConnection { channel, expires_at });
-        }
-    }
-
     /// Returns this gateway's work and outcomes by endpoint, for the news to peers.
     pub fn work_news(&self, now: Duration) -> Vec<WorkNews> {
         let state = self.lock();
@@ -648,20 +486,3 @@
         self.table.get(key).map_or(0, |record| record.endpoint.slots)
     }
 }
-
-/// Logs a change of an endpoint's limit; `source` tells who reported it.
-fn log_limit(endpoint: &str, change: Option<LimitChange>, source: &str) {
-    match change {
-        Some(LimitChange::Named(rate, part)) => info!(
-            "event=endpoint_limit endpoint={endpoint} per_second={rate} part_per_second={:.3} \
-             parts={} gateways={} source={source}",
-            part.per_second,
-            part.count,
-            part.place.map_or(0, |(_, gateways)| gateways)
-        ),
-        Some(LimitChange::Ended) => {
-            info!("event=endpoint_limit_ended endpoint={endpoint} source={source}");
-        }
-        None => {}
-    }
-}
