--- a/crates/bw-direct/src/events.rs
+++ b/crates/bw-direct/src/events.rs
@@ -13,7 +13,7 @@
     pub bytes: Bytes,
     /// Id of the last event that carries one.
     pub last_id: Option<u64>,
-    /// Number of events in `bytes`.
+    /// Number of events in `bytes`; comments and blank lines alone make none.
     pub count: u32,
 }
 
@@ -31,9 +31,10 @@
         let mut last_id = None;
         let mut count = 0;
         while let Some(length) = event_length(&self.bytes[end..]) {
-            last_id = event_id(&self.bytes[end..end + length]).or(last_id);
+            let event = &self.bytes[end..end + length];
+            last_id = event_id(event).or(last_id);
+            count += u32::from(has_field(event));
             end += length;
-            count += 1;
         }
         (end > 0).then(|| Events { bytes: self.bytes.split_to(end).freeze(), last_id, count })
     }
@@ -69,6 +70,11 @@
     None
 }
 
+/// Returns whether a block of lines has a line that is neither blank nor a comment.
+fn has_field(event: &[u8]) -> bool {
+    event.split(|byte| *byte == b'\n').any(|line| !matches!(line, [] | [b'\r'] | [b':', ..]))
+}
+
 /// Returns the number in the event's `id` field; the last number wins.
 fn event_id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -7,12 +7,14 @@
 pub mod attempts;
 pub mod budget;
 pub mod catalog;
+pub mod eligibility;
 pub mod endpoint;
 pub mod evacuation;
 pub mod events;
 pub mod health;
 pub mod limits;
 pub mod load;
+pub mod notices;
 pub mod part_news;
 pub mod peers;
 pub mod place;
--- a/crates/bw-direct/src/request.rs
+++ b/crates/bw-direct/src/request.rs
@@ -8,6 +8,8 @@
 use crate::limits::LimitError;
 use crate::limits::Rate;
 use crate::limits::Statement;
+use crate::notices::WaitError;
+use crate::notices::WaitTime;
 
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -112,6 +114,10 @@
     pub load: Option<EndpointLoad>,
     /// Limit on the requests from all gateways together that the endpoint names, or why it is ignored.
     pub limit: Option<Result<Rate, LimitError>>,
+    /// Whether the endpoint states that it is leaving.
+    pub leaving: bool,
+    /// Time for which an endpoint that rejects a request wants no other one, or why it is ignored.
+    pub wait: Option<Result<WaitTime, WaitError>>,
     /// Whether the body is an event stream.
     pub events: bool,
 }
--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -10,6 +10,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use bw_adapter::stand_in::endpoint::decode_received;
 use bw_adapter::stand_in::endpoint::encode_reply_metadata;
@@ -25,6 +26,8 @@
 const HEAD_BYTES_MAX: usize = 65_536;
 /// Largest number of header fields of a request.
 const HEADERS_MAX: usize = 64;
+/// Bytes that are written at once without end.
+const ENDLESS_BLOCK: usize = 16_384;
 
 /// A scripted response: how the endpoint handles one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,6 +57,9 @@
     Hang,
     /// Rejects the request with 503 and marks it as not run.
     Shed,
+    /// Rejects the request as [`Self::Shed`], and asks for a time in which no requests are sent: the texts of
+    /// its `Retry-After` fields.
+    ShedFor(Vec<String>),
     /// Rejects the request with 421 under the name of another endpoint.
     Misdirect,
     /// Runs the request and streams events up to the given number.
@@ -62,12 +68,19 @@
     BrokenStream(u64),
     /// Runs the request, streams events up to number 1, and then keeps the stream open.
     SilentStream,
+    /// Runs the request, streams events up to number 1, and then sends a byte of the next event at each
+    /// interval in milliseconds.
+    TricklingStream(u64),
+    /// Runs the request, streams events up to the given number at this interval in milliseconds.
+    SlowStream(u64, u64),
+    /// Runs the request, sends the given bytes, and then repeats the last part without end.
+    Endless(String, String),
 }
 
 impl Behaviour {
     /// Returns whether the request runs.
     fn runs(&self) -> bool {
-        !matches!(self, Self::Close | Self::Shed | Self::Misdirect)
+        !matches!(self, Self::Close | Self::Shed | Self::ShedFor(_) | Self::Misdirect)
     }
 }
 
@@ -82,6 +95,8 @@
     pub connections: u32,
     /// Number of requests whose caller closed the connection before the answer was complete.
     pub abandoned: u32,
+    /// Bytes that were written without end.
+    pub endless: u64,
 }
 
 #[derive(Debug, Default)]
@@ -89,6 +104,8 @@
     script: VecDeque<Behaviour>,
     /// Text of the limit that all answers name.
     limit: Option<String>,
+    /// Whether all answers say that the endpoint is leaving.
+    leaving: bool,
     observed: Observations,
 }
 
@@ -154,6 +171,11 @@
         self.lock().limit = limit.map(str::to_string);
     }
 
+    /// Sets whether all answers say from now on that the endpoint is leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.lock().leaving = leaving;
+    }
+
     /// Returns the observations so far.
     pub fn observed(&self) -> Observations {
         self.lock().observed.clone()
@@ -206,10 +228,15 @@
         behaviour: &Behaviour,
         request: &ReceivedRequest,
     ) -> io::Result<bool> {
+        let (limit, leaving) = {
+            let state = self.lock();
+            (state.limit.clone(), state.leaving)
+        };
         let metadata = ReplyMetadata {
             attempt: request.attempt.clone(),
             stamped: true,
-            limit: self.lock().limit.clone(),
+            limit,
+            leaving,
             ..ReplyMetadata::default()
         };
         let ok_head = |extra: &str| head(200, &metadata, extra);
@@ -261,6 +288,17 @@
                 stream.write_all(head.as_bytes()).await?;
                 return Ok(true);
             }
+            Behaviour::ShedFor(waits) => {
+                let metadata = ReplyMetadata {
+                    stamped: false,
+                    not_run: true,
+                    waits: waits.clone(),
+                    ..metadata.clone()
+                };
+                let head = head(503, &metadata, &content_length(""));
+                stream.write_all(head.as_bytes()).await?;
+                return Ok(true);
+            }
             Behaviour::Misdirect => {
                 let metadata = ReplyMetadata {
                     stamped: false,
@@ -285,6 +323,31 @@
                 self.write_events(stream, &ok_head(STREAM_HEADERS), request, 1).await?;
                 self.wait_for_close(stream).await?;
             }
+            Behaviour::TricklingStream(interval) => {
+                self.write_events(stream, &ok_head(STREAM_HEADERS), request, 1).await?;
+                loop {
+                    tokio::time::sleep(Duration::from_millis(*interval)).await;
+                    stream.write_all(chunk(":").as_bytes()).await?;
+                }
+            }
+            Behaviour::SlowStream(last, interval) => {
+                stream.write_all(ok_head(STREAM_HEADERS).as_bytes()).await?;
+                for id in request.last_event.unwrap_or(0) + 1..=*last {
+                    tokio::time::sleep(Duration::from_millis(*interval)).await;
+                    stream.write_all(chunk(&event_text(id)).as_bytes()).await?;
+                }
+                stream.write_all(b"0\r\n\r\n").await?;
+                return Ok(true);
+            }
+            Behaviour::Endless(start, part) => {
+                let start = start.replace("{head}", &ok_head("").replace("\r\n\r\n", "\r\n"));
+                stream.write_all(start.as_bytes()).await?;
+                let block = part.repeat((ENDLESS_BLOCK / part.len().max(1)).max(1));
+                loop {
+                    stream.write_all(block.as_bytes()).await?;
+                    self.update(|state| state.observed.endless += block.len() as u64);
+                }
+            }
         }
         Ok(false)
     }
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -110,8 +110,7 @@
     };
     let peers = SharedPeers::new(address.clone(), initial_state(&settings), clock.now());
     let config = Config::default();
-    let endpoints =
-        Endpoints::new(settings.instance.to_string(), settings.centre.to_string(), rand::random());
+    let endpoints = Endpoints::new(live.clone(), rand::random());
     let waiting = WaitQueues::new(endpoints.clone(), clock);
     let gateway_metrics = GatewayMetrics::new(&metrics)?;
     let suspects = Suspects::new(clock);
@@ -144,6 +143,7 @@
         suspects: suspects.clone(),
         retries: Retries::new(peers.clone(), live.clone(), clock),
         body_memory: Arc::new(Semaphore::new(body_units(settings.memory))),
+        answer_memory: Arc::new(Semaphore::new(body_units(settings.memory))),
         metrics: gateway_metrics.clone(),
         clock,
         settings: live.clone(),
--- a/crates/bw-gateway/src/endpoints/idle.rs
+++ b/crates/bw-gateway/src/endpoints/idle.rs
@@ -40,7 +40,7 @@
     ) {
         let expires_at = now + idle_timeout.unwrap_or(IDLE_DEFAULT).saturating_sub(IDLE_MARGIN);
         let mut state = self.lock();
-        if expires_at <= now || !state.table.is_usable(key, now) {
+        if expires_at <= now || !state.standings.table.is_usable(key, now) {
             return;
         }
         let kept = &mut state.extras[key.index()].idle;
--- a/crates/bw-gateway/src/endpoints/limits.rs
+++ b/crates/bw-gateway/src/endpoints/limits.rs
@@ -25,7 +25,7 @@
     ) {
         let mut state = self.lock();
         let state = &mut *state;
-        let Some(record) = state.table.get(key) else { return };
+        let Some(record) = state.standings.table.get(key) else { return };
         let name = &record.endpoint.name;
         let ignored = &mut state.extras[key.index()].ignored_limit;
         let rate = match statement {
@@ -39,7 +39,7 @@
             }
         };
         *ignored = None;
-        let change = state.limits.record_answer(key, name, rate, sent_at, now);
+        let change = state.standings.limits.record_answer(key, name, rate, sent_at, now);
         log_limit(name, change, "answer");
     }
 
@@ -49,9 +49,9 @@
         let state = &mut *state;
         for news in news {
             let key = state.by_hash.get(&news.endpoint).copied();
-            let Some(record) = key.and_then(|key| state.table.get(key)) else { continue };
+            let Some(record) = key.and_then(|key| state.standings.table.get(key)) else { continue };
             let (Some(key), Ok(told)) = (key, Told::try_from(*news)) else { continue };
-            let change = state.limits.receive(key, &record.endpoint.name, told, now);
+            let change = state.standings.limits.receive(key, &record.endpoint.name, told, now);
             log_limit(&record.endpoint.name, change, "peer");
         }
     }
@@ -59,14 +59,14 @@
     /// Returns the limits that endpoints have named to this gateway, for the news to peers.
     pub fn limit_news(&self, now: Duration) -> Vec<LimitNews> {
         let state = self.lock();
-        let news = state.limits.news(now).into_iter();
+        let news = state.standings.limits.news(now).into_iter();
         news.map(|(key, told)| LimitNews::new(state.extras[key.index()].name_hash, told)).collect()
     }
 
     /// Sets the gateways that may have parts of limits, by their instances; none while this gateway may
     /// have none.
     pub fn set_part_owners(&self, owners: Vec<String>, now: Duration) {
-        self.lock().limits.set_members(owners, now);
+        self.lock().standings.limits.set_members(owners, now);
     }
 }
 
--- a/crates/bw-gateway/src/endpoints/mod.rs
+++ b/crates/bw-gateway/src/endpoints/mod.rs
@@ -3,6 +3,7 @@
 
 mod idle;
 mod limits;
+mod notices;
 mod paces;
 
 use std::collections::BTreeMap;
@@ -14,18 +15,19 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_direct::eligibility::Bar;
+use bw_direct::eligibility::Eligibility;
+use bw_direct::eligibility::Outlook;
+use bw_direct::eligibility::Standings;
 use bw_direct::endpoint::Endpoint;
 use bw_direct::endpoint::EndpointChange;
 use bw_direct::endpoint::EndpointKey;
 use bw_direct::endpoint::Table;
 use bw_direct::health::Counts;
-use bw_direct::health::Health;
-use bw_direct::health::HealthState;
 use bw_direct::limits::LimitError;
-use bw_direct::limits::Limits;
-use bw_direct::limits::Permission;
 use bw_direct::load::Loads;
 use bw_direct::load::Work;
+use bw_direct::notices::WaitError;
 use bw_direct::peers::WorkNews;
 use bw_direct::place::assign_home_slots;
 use bw_direct::place::place;
@@ -40,6 +42,7 @@
 use rand::SeedableRng;
 
 use crate::placement::PlacementRequest;
+use crate::reload::LiveSettings;
 
 /// Age beyond which a peer's report of slow endpoints is ignored.
 const PACE_AGE_MAX: Duration = Duration::from_millis(2_500);
@@ -58,14 +61,14 @@
     name_hash: u64,
     /// Why the limit that the endpoint's last answer named is ignored.
     ignored_limit: Option<LimitError>,
+    /// Why the time that the endpoint's last rejection asked for is ignored.
+    ignored_wait: Option<WaitError>,
 }
 
 struct State {
-    table: Table,
+    /// What is known of the endpoints, by which requests are allowed.
+    standings: Standings,
     loads: Loads,
-    health: Health,
-    /// Limits that endpoints in need name.
-    limits: Limits,
     /// Extras by the index of the endpoint's key.
     extras: Vec<EndpointExtras>,
     by_hash: HashMap<u64, EndpointKey>,
@@ -135,18 +138,16 @@
 #[derive(Clone)]
 pub struct Endpoints {
     state: Arc<Mutex<State>>,
-    centre: String,
+    settings: LiveSettings,
 }
 
 impl Endpoints {
-    /// Creates an empty table for the gateway on `instance` in data centre `centre`; `seed` seeds the
-    /// random choice between endpoints.
-    pub fn new(instance: String, centre: String, seed: u64) -> Self {
+    /// Creates an empty table for a gateway with these settings; `seed` seeds the random choice between
+    /// endpoints.
+    pub fn new(settings: LiveSettings, seed: u64) -> Self {
         let state = State {
-            table: Table::new(),
+            standings: Standings::new(settings.get().instance.to_string()),
             loads: Loads::default(),
-            health: Health::default(),
-            limits: Limits::new(instance),
             extras: Vec::new(),
             by_hash: HashMap::new(),
             random: SmallRng::seed_from_u64(seed),
@@ -155,13 +156,13 @@
             local_paces: Vec::new(),
             peer_paces: (Duration::ZERO, Vec::new()),
         };
-        Self { state: Arc::new(Mutex::new(state)), centre }
+        Self { state: Arc::new(Mutex::new(state)), settings }
     }
 
     /// Replaces the whole list.
     pub fn replace(&self, list: Vec<Endpoint>, now: Duration) {
         let mut state = self.lock();
-        for (key, change) in state.table.replace(list, now) {
+        for (key, change) in state.standings.table.replace(list, now) {
             state.apply_change(key, change, now);
         }
     }
@@ -169,15 +170,15 @@
     /// Adds or updates an endpoint from one entry of the list.
     pub fn upsert(&self, endpoint: Endpoint, now: Duration) {
         let mut state = self.lock();
-        let (key, change) = state.table.upsert(endpoint);
+        let (key, change) = state.standings.table.upsert(endpoint);
         state.apply_change(key, change, now);
     }
 
     /// Records that the list no longer contains an endpoint, or that its entry cannot be decoded.
     pub fn remove(&self, name: &str, now: Duration) -> EndpointChange {
         let mut state = self.lock();
-        let change = state.table.remove(name, now);
-        if let Some(key) = state.table.find(name) {
+        let change = state.standings.table.remove(name, now);
+        if let Some(key) = state.standings.table.find(name) {
             state.apply_change(key, change, now);
         }
         change
@@ -185,27 +186,27 @@
 
     /// Returns the names of endpoints whose list entries have lapsed and may be listed again.
     pub fn lapsed(&self) -> Vec<String> {
-        self.lock().table.lapsed().map(|(name, _)| name.to_string()).collect()
+        self.lock().standings.table.lapsed().map(|(name, _)| name.to_string()).collect()
     }
 
     /// Returns whether a lapsed list entry was not listed again in time.
     pub fn has_overdue_lapse(&self, now: Duration) -> bool {
-        self.lock().table.lapsed().any(|(_, until)| until <= now)
+        self.lock().standings.table.lapsed().any(|(_, until)| until <= now)
     }
 
     /// Records that a call to the store failed.
     pub fn mark_source_down(&self) {
-        self.lock().table.mark_source_down();
+        self.lock().standings.table.mark_source_down();
     }
 
     /// Records that the store answered at `now`; returns true if the previous call had failed.
     pub fn mark_source_up(&self, now: Duration) -> bool {
-        self.lock().table.mark_source_up(now)
+        self.lock().standings.table.mark_source_up(now)
     }
 
     /// Returns the number of endpoints ever listed.
     pub fn len(&self) -> usize {
-        self.lock().table.len()
+        self.lock().standings.table.len()
     }
 
     /// Returns true if no endpoint was ever listed.
@@ -221,7 +222,8 @@
     /// Records that a stream's event arrived `pause` after the previous one.
     pub fn record_pause(&self, key: EndpointKey, pause: Duration, now: Duration) {
         let mut state = self.lock();
-        let member = state.table.get(key).and_then(|record| record.endpoint.member.as_ref());
+        let member =
+            state.standings.table.get(key).and_then(|record| record.endpoint.member.as_ref());
         let Some(group) = member.map(|member| member.group.clone()) else { return };
         state.steps.entry(group).or_default().record(pause, now);
     }
@@ -239,13 +241,14 @@
     /// Selects an endpoint of a service with a free slot and counts the request there; `None` if
     /// no slot is free.
     pub fn place(&self, request: &PlacementRequest, now: Duration) -> Option<ChosenEndpoint> {
+        let settings = self.settings.get();
         let mut state = self.lock();
-        let candidates = state.candidates(request, &self.centre, now);
+        let candidates = state.candidates(request, settings.centre.as_str(), settings.drain, now);
         let (best, slot_kind) = place(&candidates, &mut state.random)?;
         state.loads.start(best.key, request.prompt);
-        state.limits.record_send(best.key, now);
+        state.standings.limits.record_send(best.key, now);
         let news_age = state.loads.oldest_news(now);
-        let endpoint = &state.table.get(best.key)?.endpoint;
+        let endpoint = &state.standings.table.get(best.key)?.endpoint;
         Some(ChosenEndpoint {
             key: best.key,
             name: endpoint.name.clone(),
@@ -257,20 +260,25 @@
         })
     }
 
-    /// Returns whether a service has endpoints that are not excluded, and that this gateway may send
-    /// requests to now or later, whether or not their groups accept requests.
-    pub fn serves(&self, service: &str, exclude: &[EndpointKey], now: Duration) -> bool {
-        let state = self.lock();
-        let mut usable = state.table.usable(service, now).filter(|key| !exclude.contains(key));
-        usable.any(|key| state.limits.permission(key, now) != Permission::Elsewhere)
+    /// Returns when a service may take a request that must not be sent to the endpoints in `exclude`,
+    /// whether or not the groups of the others accept requests.
+    pub fn outlook(&self, service: &str, exclude: &[EndpointKey], now: Duration) -> Outlook {
+        let drain = self.settings.get().drain;
+        self.lock().standings.outlook(service, exclude, drain, now)
+    }
+
+    /// Returns why a request that was placed at an endpoint may no longer be sent to it; `None` if it may.
+    pub fn bar_to_send(&self, key: EndpointKey, now: Duration) -> Option<Bar> {
+        let drain = self.settings.get().drain;
+        self.lock().standings.bar_to_send(key, drain, now)
     }
 
     /// Returns the groups of a service, ordered by name.
     pub fn groups(&self, service: &str, now: Duration) -> Vec<GroupView> {
         let state = self.lock();
         let mut groups: BTreeMap<String, GroupView> = BTreeMap::new();
-        for key in state.table.usable(service, now) {
-            let Some(record) = state.table.get(key) else { continue };
+        for key in state.standings.table.usable(service, now) {
+            let Some(record) = state.standings.table.get(key) else { continue };
             let Some(member) = &record.endpoint.member else { continue };
             let group = groups.entry(member.group.clone()).or_insert_with(|| GroupView {
                 name: member.group.clone(),
@@ -299,14 +307,14 @@
 
     /// Records a complete answer from an endpoint.
     pub fn record_success(&self, key: EndpointKey, now: Duration) {
-        self.lock().health.record_success(key, now);
+        self.lock().standings.health.record_success(key, now);
     }
 
     /// Records a failure that is attributed to the endpoint, and ejects the service's outliers.
     pub fn record_failure(&self, key: EndpointKey, now: Duration) {
         let mut state = self.lock();
-        state.health.record_failure(key, now);
-        let service = state.table.get(key).map(|record| record.endpoint.service.clone());
+        state.standings.health.record_failure(key, now);
+        let service = state.standings.table.get(key).map(|record| record.endpoint.service.clone());
         if let Some(service) = service {
             state.eject_outliers(&service, now);
         }
@@ -315,7 +323,7 @@
     /// Ejects the outliers of all services, judged by the counts of all gateways.
     pub fn eject_all_outliers(&self, now: Duration) {
         let mut state = self.lock();
-        let services: Vec<String> = state.table.services().map(str::to_string).collect();
+        let services: Vec<String> = state.standings.table.services().map(str::to_string).collect();
         for service in services {
             state.eject_outliers(&service, now);
         }
@@ -324,14 +332,14 @@
     /// Disables an endpoint whose address turned out to be used by another endpoint.
     pub fn disable(&self, key: EndpointKey) {
         let mut state = self.lock();
-        state.table.disable(key);
+        state.standings.table.disable(key);
         state.extras[key.index()].idle.clear();
     }
 
     /// Returns whether the list entry of an endpoint allows new work at `now`, whether or not the
     /// endpoint's group accepts requests.
     pub fn is_usable(&self, key: EndpointKey, now: Duration) -> bool {
-        self.lock().table.is_usable(key, now)
+        self.lock().standings.table.is_usable(key, now)
     }
 
     /// Returns this gateway's work and outcomes by endpoint, for the news to peers.
@@ -341,7 +349,7 @@
         for (index, work) in state.loads.own() {
             news.entry(index).or_default().0 = work;
         }
-        for (index, counts) in state.health.own(now) {
+        for (index, counts) in state.standings.health.own(now) {
             news.entry(index).or_default().1 = counts;
         }
         let news = news.into_iter().map(|(index, (work, counts))| WorkNews {
@@ -365,7 +373,7 @@
         let works = known.iter().map(|(key, news)| (*key, news.work())).collect();
         state.loads.update_peer(peer, works, now);
         let counts = known.iter().map(|(key, news)| (*key, news.counts())).collect();
-        state.health.update_peer(peer, counts, now);
+        state.standings.health.update_peer(peer, counts, now);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -377,21 +385,22 @@
     /// Updates the extras and health of an endpoint after a change of the table, and logs the
     /// change.
     fn apply_change(&mut self, key: EndpointKey, change: EndpointChange, now: Duration) {
-        while self.extras.len() < self.table.len() {
+        while self.extras.len() < self.standings.table.len() {
             let key = Table::key_at(self.extras.len());
-            let name = self.table.get(key).map_or("", |record| &record.endpoint.name);
+            let name = self.standings.table.get(key).map_or("", |record| &record.endpoint.name);
             let name_hash = rendezvous_weight("endpoint", name);
             self.by_hash.insert(name_hash, key);
             self.extras.push(EndpointExtras { name_hash, ..EndpointExtras::default() });
         }
-        let Some(record) = self.table.get(key) else { return };
+        let Some(record) = self.standings.table.get(key) else { return };
         let extras = &mut self.extras[key.index()];
         match change {
             EndpointChange::Same => return,
             EndpointChange::Restarted => {
                 extras.idle.clear();
-                self.health.reset(key);
-                self.limits.reset(key);
+                self.standings.health.reset(key);
+                self.standings.limits.reset(key);
+                self.standings.notices.reset(key);
             }
             EndpointChange::Removed => extras.idle.clear(),
             EndpointChange::Added | EndpointChange::Changed | EndpointChange::Lapsed => {}
@@ -408,62 +417,68 @@
     }
 
     /// Returns the endpoints of a service that are eligible for a request. The health of endpoints
-    /// is ignored if it would leave fewer than half of them.
+    /// is ignored if it would leave fewer than half of them, and leaving ones are used if there is no other.
     fn candidates(
         &self,
         request: &PlacementRequest,
         centre: &str,
+        drain: Duration,
         now: Duration,
     ) -> Vec<Candidate> {
-        let mut keys: Vec<EndpointKey> = self.table.accepting(&request.service, now).collect();
+        let standings = &self.standings;
+        let mut keys: Vec<EndpointKey> = standings.table.accepting(&request.service, now).collect();
         // All gateways assign home slots in the same order of endpoints.
         keys.sort_by_key(|key| self.extras[key.index()].name_hash);
         let slots: Vec<u32> = keys.iter().map(|key| self.slots(*key)).collect();
         let home_slots = assign_home_slots(&slots, self.position.0, self.position.1);
         let works = self.loads.total(&keys, now);
         let all = keys.iter().zip(slots).zip(home_slots).zip(works);
-        let candidates = all.filter(|(((key, _), _), _)| {
-            !request.exclude.contains(key) && self.limits.permission(**key, now).allows()
-        });
-        let candidates: Vec<Candidate> = candidates
-            .map(|(((key, slots), home_slots), work)| Candidate {
+        let mut healthy = Vec::new();
+        let mut ailing = Vec::new();
+        let mut leaving = Vec::new();
+        for (((key, slots), home_slots), work) in all {
+            if request.exclude.contains(key) {
+                continue;
+            }
+            let candidate = Candidate {
                 key: *key,
                 slots,
                 work,
                 own: self.loads.own_at(*key).requests,
                 home_slots,
-                remote: self.table.get(*key).is_some_and(|record| record.endpoint.centre != centre),
+                remote: standings.table.get(*key).is_some_and(|one| one.endpoint.centre != centre),
                 pace: self.pace(*key, now),
-            })
-            .collect();
-        let healthy: Vec<Candidate> =
-            candidates.iter().copied().filter(|one| self.may_receive_work(one, now)).collect();
-        if healthy.len() * 2 >= candidates.len() {
-            healthy
-        } else {
-            candidates
+            };
+            match standings.eligibility(*key, drain, now) {
+                Eligibility::Free => healthy.push(candidate),
+                Eligibility::OneAtATime if candidate.own > 0 => {}
+                Eligibility::OneAtATime => healthy.push(candidate),
+                Eligibility::Trial if candidate.own == 0 => healthy.push(candidate),
+                Eligibility::Trial | Eligibility::Barred(Bar::Ejected) => ailing.push(candidate),
+                Eligibility::LastResort => leaving.push(candidate),
+                Eligibility::Barred(_) => {}
+            }
+        }
+        if healthy.len() < ailing.len() {
+            healthy.append(&mut ailing);
+        }
+        if healthy.is_empty() && ailing.is_empty() {
+            return leaving;
         }
+        healthy
     }
 
     fn group_of(&self, key: EndpointKey) -> Option<&str> {
-        let member = self.table.get(key)?.endpoint.member.as_ref()?;
+        let member = self.standings.table.get(key)?.endpoint.member.as_ref()?;
         Some(&member.group)
     }
 
-    fn may_receive_work(&self, candidate: &Candidate, now: Duration) -> bool {
-        match self.health.state(candidate.key, now) {
-            HealthState::Healthy => true,
-            HealthState::Trial => candidate.own == 0,
-            HealthState::Ejected => false,
-        }
-    }
-
     /// Ejects the endpoints of a service that fail more often than the others, and logs each of
     /// them.
     fn eject_outliers(&mut self, service: &str, now: Duration) {
-        let keys: Vec<EndpointKey> = self.table.accepting(service, now).collect();
-        for (key, counts) in self.health.eject_outliers(&keys, now) {
-            let name = self.table.get(key).map_or("", |record| &record.endpoint.name);
+        let keys: Vec<EndpointKey> = self.standings.table.accepting(service, now).collect();
+        for (key, counts) in self.standings.health.eject_outliers(&keys, now) {
+            let name = self.standings.table.get(key).map_or("", |record| &record.endpoint.name);
             info!(
                 "event=endpoint_ejected endpoint={name} failed={} ended={} at_ms={}",
                 counts.failed,
@@ -483,6 +498,6 @@
     }
 
     fn slots(&self, key: EndpointKey) -> u32 {
-        self.table.get(key).map_or(0, |record| record.endpoint.slots)
+        self.standings.table.get(key).map_or(0, |record| record.endpoint.slots)
     }
 }
--- a/crates/bw-gateway/src/endpoints/paces.rs
+++ b/crates/bw-gateway/src/endpoints/paces.rs
@@ -22,7 +22,7 @@
         if slow.is_empty() && state.local_paces.is_empty() {
             return;
         }
-        let table = &state.table;
+        let table = &state.standings.table;
         let key = |address: SocketAddr| {
             let listed = |record: &EndpointRecord| {
                 record.endpoint.address == address && record.state != EndpointState::Gone
@@ -61,7 +61,7 @@
         if pace < PACE_LIMIT {
             return false;
         }
-        let Some(record) = state.table.get(key) else { return false };
+        let Some(record) = state.standings.table.get(key) else { return false };
         let Some(member) = &record.endpoint.member else { return false };
         let (at, peer_paces) = &state.peer_paces;
         let current = now.saturating_sub(*at) <= PACE_AGE_MAX;
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -11,19 +11,21 @@
 use bw_direct::events::Events;
 use bw_direct::request::ReplyHead;
 use bw_http::Channel;
+use bw_http::ChannelBody;
 use bw_http::ChannelError;
 use bw_http::Liveness;
 use bytes::Bytes;
+use bytes::BytesMut;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
-use hyper::body::Incoming;
 use hyper::http::response;
 use hyper::Request;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
 use super::job::Job;
 use super::Forwarder;
+use super::BODY_UNIT;
 use crate::waiting::PlacedRequest;
 
 /// Maximum size in bytes of the body of an answer that is not a stream of events.
@@ -39,6 +41,8 @@
 /// Times that a send waits for the runtime to learn which callers have left, so that a gateway that is
 /// always busy still sends requests.
 const CALLER_CHECKS_MAX: u32 = 3;
+/// Reason, in logs, of the end of a stream whose next event exceeds the accepted size.
+pub const EVENT_TOO_LARGE: &str = "event too large";
 /// Timeouts that detect dead connections to endpoints.
 const ENDPOINT_LIVENESS: Liveness = Liveness {
     connect: Duration::from_millis(400),
@@ -57,7 +61,7 @@
     /// Head as received.
     pub parts: response::Parts,
     /// Remaining body.
-    pub body: Incoming,
+    pub body: ChannelBody,
 }
 
 /// An answer that was received completely.
@@ -92,15 +96,15 @@
     pub end: SendEnd,
     /// Description for the log.
     pub reason: String,
-    /// Whether another endpoint answered at the address.
-    misdirected: bool,
+    /// Whether the failure says nothing about the health of the endpoint.
+    blameless: bool,
     /// Whether the connection broke while the request may have been running.
     broken: bool,
 }
 
 impl SendFailure {
     fn new(end: SendEnd, reason: impl Into<String>) -> Self {
-        Self { end, reason: reason.into(), misdirected: false, broken: false }
+        Self { end, reason: reason.into(), blameless: false, broken: false }
     }
 
     /// Returns the failure of a connection that broke while the request may have been running.
@@ -125,6 +129,10 @@
         if self.is_quarantined(job) {
             return Err(SendEnd::NotSent);
         }
+        if let Some(bar) = self.endpoints.bar_to_send(key, sent_at) {
+            job.append_trace(&format!("{}:{bar}", placed.chosen.name));
+            return Err(SendEnd::NotSent);
+        }
         if let Some(retry) = &mut job.retry {
             if !retry.is_covered() {
                 job.retry = None;
@@ -162,9 +170,7 @@
             }
             Err(failure) => {
                 job.record_send(&placed, Err((failure.end, &failure.reason)), took);
-                // A misdirected request says nothing about the health of the intended endpoint:
-                // another endpoint uses the address now.
-                if !failure.misdirected {
+                if !failure.blameless {
                     self.endpoints.record_failure(key, self.clock.now());
                 }
                 if failure.broken {
@@ -205,6 +211,11 @@
             last_event,
             priority: None,
         };
+        // The endpoint may have said something else on another connection meanwhile.
+        if let Some(bar) = self.endpoints.bar_to_send(placed.chosen.key, self.clock.now()) {
+            let failure = SendFailure::new(SendEnd::NotSent, bar.to_string());
+            return Err(SendFailure { blameless: true, ..failure });
+        }
         let request = encode_request(&job.parts, job.body.clone(), &head)
             .map_err(|error| SendFailure::new(SendEnd::NotSent, error.to_string()))?;
         let answer_timeout = match job.route().kind {
@@ -250,19 +261,47 @@
         if let Some(statement) = reply.limit_statement(&job.head.attempt) {
             self.endpoints.record_limit(placed.chosen.key, statement, sent_at, self.clock.now());
         }
+        // At an address that is used again, another endpoint speaks for itself.
+        if reply.status != MISDIRECTED
+            && self.endpoints.record_notices(placed.chosen.key, &reply, self.clock.now())
+        {
+            self.waiting.reject_unserved(&job.service);
+        }
         self.check_reply(job, placed, &reply)?;
         if reply.events && parts.status.is_success() {
             return read_first_events(placed, reply, parts, body).await;
         }
         placed.start_answer();
-        let collected = Limited::new(body, ANSWER_BYTES_MAX).collect().await;
-        let collected = collected.map_err(|error| SendFailure::broken(error.to_string()))?;
+        let (body, _memory) = self.read_body_whole(body).await?;
         if parts.status.is_server_error() {
             self.endpoints.record_failure(placed.chosen.key, self.clock.now());
         } else {
             self.endpoints.record_success(placed.chosen.key, self.clock.now());
         }
-        Ok(ReceivedAnswer::Whole(WholeAnswer { parts, body: collected.to_bytes() }))
+        Ok(ReceivedAnswer::Whole(WholeAnswer { parts, body }))
+    }
+
+    /// Reads a body to its end, with the memory that it occupies while it is read.
+    async fn read_body_whole(
+        &self,
+        mut body: ChannelBody,
+    ) -> Result<(Bytes, Option<OwnedSemaphorePermit>), SendFailure> {
+        let mut bytes = BytesMut::new();
+        let mut memory: Option<OwnedSemaphorePermit> = None;
+        while let Some(part) = next_bytes(&mut body).await.map_err(SendFailure::broken)? {
+            if bytes.len() + part.len() > ANSWER_BYTES_MAX {
+                return Err(SendFailure::broken("answer too large"));
+            }
+            let units = part.len().div_ceil(BODY_UNIT) as u32;
+            let permit = self.answer_memory.clone().try_acquire_many_owned(units);
+            let permit = permit.map_err(|_| SendFailure::broken("no memory for the answer"))?;
+            match &mut memory {
+                Some(memory) => memory.merge(permit),
+                None => memory = Some(permit),
+            }
+            bytes.extend_from_slice(&part);
+        }
+        Ok((bytes.freeze(), memory))
     }
 
     /// Checks that an answer belongs to the request and that the endpoint ran the request.
@@ -276,12 +315,13 @@
         let other_attempt = reply.attempt.is_some() && !same_attempt;
         let not_run = reply.not_run || reply.status == MISDIRECTED;
         if not_run && !other_attempt {
-            let misdirected = reply.status == MISDIRECTED;
-            if misdirected {
+            // Another endpoint uses the address now.
+            let blameless = reply.status == MISDIRECTED;
+            if blameless {
                 self.endpoints.disable(placed.chosen.key);
             }
             let reason = format!("status {}", reply.status);
-            return Err(SendFailure { misdirected, ..SendFailure::new(SendEnd::NotRun, reason) });
+            return Err(SendFailure { blameless, ..SendFailure::new(SendEnd::NotRun, reason) });
         }
         if !same_attempt {
             return Err(SendFailure::new(SendEnd::MayHaveRun, "answer to another attempt"));
@@ -309,7 +349,7 @@
     Started {
         reply: ReplyHead,
         parts: response::Parts,
-        body: Incoming,
+        body: ChannelBody,
         buffer: EventBuffer,
         first: Option<Events>,
     },
@@ -320,7 +360,7 @@
     placed: &mut PlacedRequest,
     reply: ReplyHead,
     parts: response::Parts,
-    mut body: Incoming,
+    mut body: ChannelBody,
 ) -> Result<ReceivedAnswer, SendFailure> {
     let mut buffer = EventBuffer::default();
     let first = loop {
@@ -329,6 +369,9 @@
                 if let Some(first) = buffer.push(&bytes) {
                     break Some(first);
                 }
+                if buffer.is_oversized() {
+                    return Err(SendFailure::broken(EVENT_TOO_LARGE));
+                }
             }
             Ok(None) if buffer.is_empty() => break None,
             Ok(None) => return Err(SendFailure::broken("partial event")),
@@ -343,7 +386,7 @@
 ///
 /// # Errors
 /// The text of the connection's error.
-pub async fn next_bytes(body: &mut Incoming) -> Result<Option<Bytes>, String> {
+pub async fn next_bytes(body: &mut ChannelBody) -> Result<Option<Bytes>, String> {
     loop {
         match body.frame().await {
             None => return Ok(None),
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -41,6 +41,7 @@
 use crate::endpoints::Endpoints;
 use crate::metrics::GatewayMetrics;
 use crate::reload::LiveSettings;
+use crate::reply::promises_not_run;
 use crate::reply::Refusal;
 use crate::reply::ReplyBody;
 use crate::retries::Retries;
@@ -85,6 +86,8 @@
     pub suspects: Suspects,
     /// Free capacity for request bodies, in units of [`BODY_UNIT`].
     pub body_memory: Arc<Semaphore>,
+    /// Free capacity for whole answers while they are read, in units of [`BODY_UNIT`].
+    pub answer_memory: Arc<Semaphore>,
     /// Counters and histograms.
     pub metrics: GatewayMetrics,
     /// Retry budgets of the services.
@@ -255,6 +258,12 @@
                         Outcome::Refused(refusal, after) => return refusal.response("", after),
                     }
                 }
+                // The caller would take the status for a promise that the request has not run.
+                Ok(EndpointAnswer::Whole(whole))
+                    if !job.route().is_idempotent() && promises_not_run(whole.parts.status) =>
+                {
+                    (SendEnd::MayHaveRun, None)
+                }
                 Ok(EndpointAnswer::Whole(whole)) => {
                     if !whole.parts.status.is_server_error() || !job.route().is_idempotent() {
                         break deliver(whole);
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -7,12 +7,14 @@
 use bw_direct::attempts::SendEnd;
 use bw_direct::endpoint::EndpointKey;
 use bw_direct::events::Events;
+use bw_direct::wait_limits::stall_max;
 use log::info;
 use tokio::time::timeout;
 
 use super::exchange::next_bytes;
 use super::exchange::EndpointAnswer;
 use super::exchange::StartedStream;
+use super::exchange::EVENT_TOO_LARGE;
 use super::job::Job;
 use super::outcome::answer;
 use super::outcome::Outcome;
@@ -139,26 +141,38 @@
                 return end;
             }
         }
+        // The time that a slow caller takes does not count.
+        let mut waiting_since = self.forwarder.clock.now();
         loop {
-            let remaining = self.job.deadline.saturating_sub(self.forwarder.clock.now());
+            let now = self.forwarder.clock.now();
+            let remaining = self.job.deadline.saturating_sub(now);
+            let waited = now.saturating_sub(waiting_since);
+            let patience = stall_max(self.job.route()).saturating_sub(waited);
             let next = tokio::select! {
                 next = next_bytes(&mut opened.body) => next,
                 () = self.sender.closed() => return PartEnd::CallerLeft,
                 () = tokio::time::sleep(remaining) => return PartEnd::Expired,
+                () = tokio::time::sleep(patience) => return PartEnd::Broken("stalled".to_string()),
             };
             match next {
                 Ok(Some(bytes)) => {
                     if let Some(events) = buffer.push(&bytes) {
-                        self.record_pause(opened.placed.chosen.key);
+                        let progress = events.count > 0;
+                        if progress {
+                            self.record_pause(opened.placed.chosen.key);
+                        }
                         if let Err(end) = self.send_events(events).await {
                             return end;
                         }
                         if let Some(placed) = self.place_elsewhere(opened.placed.chosen.key) {
                             return PartEnd::Moving(Box::new(placed));
                         }
+                        if progress {
+                            waiting_since = self.forwarder.clock.now();
+                        }
                     }
                     if buffer.is_oversized() {
-                        return PartEnd::Broken("event too large".to_string());
+                        return PartEnd::Broken(EVENT_TOO_LARGE.to_string());
                     }
                 }
                 Ok(None) if buffer.is_empty() => {
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bw_direct::limits::LimitNews;
+use bw_direct::notices::LeavingNews;
 use bw_direct::peers::add_echo;
 use bw_direct::peers::split_echo;
 use bw_direct::peers::News;
@@ -23,10 +24,12 @@
 use bw_member::PeerState;
 use bw_model::Fence;
 use bw_model::Position;
+use bw_proto::codec::CodecError;
 use bw_proto::decode;
 use bw_proto::encode;
 use log::info;
 use log::warn;
+use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -60,8 +63,10 @@
 const PART_NEWS_MARK: u8 = u8::MAX;
 /// First byte of a datagram with limits that endpoints have named.
 const LIMIT_NEWS_MARK: u8 = u8::MAX - 1;
-/// Limits in one datagram, which fits into [`DATAGRAM_MAX`] with them.
-const LIMITS_MAX: usize = 512;
+/// First byte of a datagram with endpoints that are leaving.
+const LEAVING_NEWS_MARK: u8 = u8::MAX - 2;
+/// Limits or leaving endpoints in one datagram, which fits into [`DATAGRAM_MAX`] with them.
+const RARE_NEWS_MAX: usize = 512;
 /// Largest datagram, in bytes, that is received whole.
 const DATAGRAM_MAX: usize = 16_384;
 
@@ -390,7 +395,11 @@
         };
         let mut rare_news: Vec<Vec<u8>> = self.encode_part_news().into_iter().collect();
         let limits = self.endpoints.limit_news(now);
-        rare_news.extend(limits.chunks(LIMITS_MAX).filter_map(encode_limits));
+        let limits = limits.chunks(RARE_NEWS_MAX);
+        rare_news.extend(limits.filter_map(|part| encode_rare(LIMIT_NEWS_MARK, &part.to_vec())));
+        let leaving = self.endpoints.leaving_news(now);
+        let leaving = leaving.chunks(RARE_NEWS_MAX);
+        rare_news.extend(leaving.filter_map(|part| encode_rare(LEAVING_NEWS_MARK, &part.to_vec())));
         let stamps = self.peers.lock().stamps.clone();
         for target in targets {
             let echo = stamps.get(&target).copied().unwrap_or(NO_STAMP);
@@ -410,13 +419,7 @@
         if news.is_empty() {
             return None;
         }
-        match encode(&news) {
-            Ok(bytes) => Some([&[PART_NEWS_MARK], bytes.as_slice()].concat()),
-            Err(error) => {
-                warn!("event=news_unsent reason=\"{error}\"");
-                None
-            }
-        }
+        encode_rare(PART_NEWS_MARK, &news)
     }
 
     /// Applies a peer's proof that its configuration is the newest.
@@ -450,19 +453,25 @@
         self.endpoints.set_part_owners(owners.unwrap_or_default(), now);
     }
 
-    /// Decodes a datagram and applies its news.
-    fn receive(&self, bytes: &[u8]) {
-        if let Some((&PART_NEWS_MARK, bytes)) = bytes.split_first() {
-            match decode(bytes) {
-                Ok(news) => self.suspects.receive_parts(&news),
-                Err(error) => warn!("event=news_unreadable reason=\"{error}\""),
+    /// Decodes and applies news that are rarely sent, by the byte that marks their kind.
+    fn receive_rare(&self, mark: u8, bytes: &[u8]) -> Result<(), CodecError> {
+        let now = self.clock.now();
+        match mark {
+            PART_NEWS_MARK => self.suspects.receive_parts(&decode(bytes)?),
+            LIMIT_NEWS_MARK => {
+                self.endpoints.receive_limits(&decode::<Vec<LimitNews>>(bytes)?, now);
             }
-            return;
+            _ => self.endpoints.receive_leaving(&decode::<Vec<LeavingNews>>(bytes)?, now),
         }
-        if let Some((&LIMIT_NEWS_MARK, bytes)) = bytes.split_first() {
-            match decode::<Vec<LimitNews>>(bytes) {
-                Ok(news) => self.endpoints.receive_limits(&news, self.clock.now()),
-                Err(error) => warn!("event=news_unreadable reason=\"{error}\""),
+        Ok(())
+    }
+
+    /// Decodes a datagram and applies its news.
+    fn receive(&self, bytes: &[u8]) {
+        let (mark, rest) = bytes.split_first().map_or((0, bytes), |(mark, rest)| (*mark, rest));
+        if mark >= LEAVING_NEWS_MARK {
+            if let Err(error) = self.receive_rare(mark, rest) {
+                warn!("event=news_unreadable reason=\"{error}\"");
             }
             return;
         }
@@ -508,10 +517,13 @@
     }
 }
 
-/// Returns the datagram with limits that endpoints have named.
-fn encode_limits(limits: &[LimitNews]) -> Option<Vec<u8>> {
-    match encode(&limits.to_vec()) {
-        Ok(bytes) => Some([&[LIMIT_NEWS_MARK], bytes.as_slice()].concat()),
+/// Returns a datagram with news that are rarely sent, after the byte that marks their kind.
+fn encode_rare<T>(mark: u8, news: &T) -> Option<Vec<u8>>
+where
+    T: Serialize,
+{
+    match encode(news) {
+        Ok(bytes) => Some([&[mark], bytes.as_slice()].concat()),
         Err(error) => {
             warn!("event=news_unsent reason=\"{error}\"");
             None
--- a/crates/bw-gateway/src/reply.rs
+++ b/crates/bw-gateway/src/reply.rs
@@ -160,6 +160,12 @@
     }
 }
 
+/// Returns whether callers take an answer with this status for a promise that the request has not run and
+/// never will.
+pub fn promises_not_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
 /// Reason why the gateway answers a request itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
--- a/crates/bw-gateway/src/waiting.rs
+++ b/crates/bw-gateway/src/waiting.rs
@@ -7,6 +7,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_direct::eligibility::Outlook;
 use bw_kernel::BootClock;
 use bw_route::admission::OfferOutcome;
 use bw_route::admission::Ticket;
@@ -25,6 +26,8 @@
 /// Range of the random factor applied to the expected wait to get a retry-after time. The jitter
 /// spreads retries, so that one wave of rejected requests does not cause a second one.
 const RETRY_JITTER: (f64, f64) = (0.8, 1.6);
+/// Fraction of the time that all endpoints of a service ask for within which callers return after its end.
+const RETRY_SPREAD: f64 = 0.5;
 /// Weight of the newest sample in the moving average of the time to an answer, which covers about
 /// the last 20 answers.
 const ANSWER_WEIGHT: f64 = 0.05;
@@ -37,7 +40,7 @@
 /// A request in a queue.
 struct Waiter {
     request: PlacementRequest,
-    result: oneshot::Sender<PlacedRequest>,
+    result: oneshot::Sender<Result<PlacedRequest, Rejected>>,
 }
 
 /// The queue of one service.
@@ -140,8 +143,9 @@
                 return Ok(placed);
             }
         }
-        if !self.endpoints.serves(&request.service, &request.exclude, arrived_at) {
-            return Err(Rejected(jitter(RETRY_AFTER_MIN)));
+        let outlook = self.endpoints.outlook(&request.service, &request.exclude, arrived_at);
+        if let Some(rejected) = reject_unserved(outlook, arrived_at) {
+            return Err(rejected);
         }
         let (service, workspace, deadline) =
             (request.service.clone(), request.workspace, request.deadline);
@@ -151,7 +155,8 @@
         let result = timeout(remaining, receiver).await;
         drop(guard);
         match result {
-            Ok(Ok(mut placed)) => {
+            Ok(Ok(Err(rejected))) => Err(rejected),
+            Ok(Ok(Ok(mut placed))) => {
                 placed.waited = self.clock.now().saturating_sub(arrived_at);
                 Ok(placed)
             }
@@ -172,12 +177,32 @@
             };
             match placed {
                 // If the receiver is gone, dropping the placed request dispatches the next one.
-                Some((result, placed)) => drop(result.send(placed)),
+                Some((result, placed)) => drop(result.send(Ok(placed))),
                 None => return,
             }
         }
     }
 
+    /// Rejects the waiting requests of a service whose endpoints take none for a time, or are all leaving.
+    pub fn reject_unserved(&self, service: &str) {
+        let now = self.clock.now();
+        let outlook = self.endpoints.outlook(service, &[], now);
+        if outlook == Outlook::Open {
+            return;
+        }
+        let mut state = self.lock();
+        let Some(queue) = state.queues.get_mut(service) else { return };
+        let waiters: Vec<Waiter> = queue.waiters.drain().map(|(_, waiter)| waiter).collect();
+        state.waiting_count -= waiters.len();
+        drop(state);
+        for waiter in waiters {
+            if let Some(rejected) = reject_unserved(outlook, now) {
+                // A waiter whose caller has left needs no answer.
+                let _ = waiter.result.send(Err(rejected));
+            }
+        }
+    }
+
     /// Returns the number of waiting requests of all services.
     pub fn len(&self) -> usize {
         self.lock().waiting_count
@@ -193,7 +218,7 @@
     fn dispatch_next(
         &self,
         state: &mut State,
-    ) -> Option<(oneshot::Sender<PlacedRequest>, PlacedRequest)> {
+    ) -> Option<(oneshot::Sender<Result<PlacedRequest, Rejected>>, PlacedRequest)> {
         let now = self.clock.now();
         for queue in state.queues.values_mut() {
             let Some(ticket) = queue.admission.peek(now) else { continue };
@@ -236,7 +261,7 @@
         &self,
         request: PlacementRequest,
         now: Duration,
-    ) -> Result<(Ticket, oneshot::Receiver<PlacedRequest>), Rejected> {
+    ) -> Result<(Ticket, oneshot::Receiver<Result<PlacedRequest, Rejected>>), Rejected> {
         let mut state = self.lock();
         state.last_ticket += 1;
         let ticket = state.last_ticket;
@@ -263,6 +288,21 @@
     }
 }
 
+/// Returns the rejection of a request whose service takes none, with a time after which it does; `None` if
+/// the service takes requests.
+fn reject_unserved(outlook: Outlook, now: Duration) -> Option<Rejected> {
+    match outlook {
+        Outlook::Open => None,
+        Outlook::NotBefore(at) => {
+            // Callers return after the end of the time, and not all at once.
+            let wait = at.saturating_sub(now);
+            let spread = wait.mul_f64(RETRY_SPREAD).max(RETRY_AFTER_MIN);
+            Some(Rejected(wait + spread.mul_f64(rand::rng().random_range(0.0..1.0))))
+        }
+        Outlook::Closed => Some(Rejected(jitter(RETRY_AFTER_MIN))),
+    }
+}
+
 /// Returns a retry-after time around `wait`, randomised so that callers do not retry together.
 fn jitter(wait: Duration) -> Duration {
     wait.mul_f64(rand::rng().random_range(RETRY_JITTER.0..RETRY_JITTER.1))
--- a/crates/bw-gateway/tests/common/mod.rs
+++ b/crates/bw-gateway/tests/common/mod.rs
@@ -28,6 +28,7 @@
 use bw_gateway::app;
 use bw_gateway::Settings;
 use bw_http::Channel;
+use bw_http::ChannelBody;
 use bw_http::Liveness;
 use bw_kernel::Kernel;
 use bw_kernel::Stop;
@@ -38,7 +39,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::Request;
 use hyper::Response;
 use tokio::net::UdpSocket;
@@ -344,7 +344,7 @@
 }
 
 /// Reads a whole reply.
-pub async fn read_reply(response: Response<Incoming>) -> Reply {
+pub async fn read_reply(response: Response<ChannelBody>) -> Reply {
     let status = response.status().as_u16();
     let after = response.headers().get("retry-after");
     let retry_after = after.map(|value| value.to_str().unwrap().to_string());
--- a/crates/bw-http/src/channel.rs
+++ b/crates/bw-http/src/channel.rs
@@ -2,11 +2,17 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Body;
+use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper::Request;
@@ -18,8 +24,14 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::meter::Allowance;
+use crate::meter::Metered;
+
 /// Largest head of a response, in bytes.
 const HEAD_BYTES_MAX: usize = 65_536;
+/// Most bytes that may arrive before the head of an answer, interim answers included, and between two parts of
+/// its body. What follows them may arrive before they are seen.
+const BYTES_BETWEEN: u64 = 1 << 20;
 
 /// Timeouts that detect a connection whose peer has vanished.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +45,37 @@
     pub probe: Duration,
 }
 
+/// Body of a response on a channel. Framing without data is bounded; whoever reads the body bounds the data.
+#[derive(Debug)]
+pub struct ChannelBody {
+    body: Incoming,
+    allowance: Allowance,
+}
+
+impl Body for ChannelBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let result = Pin::new(&mut self.body).poll_frame(context);
+        if result.is_ready() {
+            self.allowance.set(BYTES_BETWEEN);
+        }
+        result
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Why opening a channel or an exchange on it failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ChannelError {
@@ -57,6 +100,7 @@
 #[derive(Debug)]
 pub struct Channel {
     sender: SendRequest<Full<Bytes>>,
+    allowance: Allowance,
     task: AbortHandle,
 }
 
@@ -79,6 +123,8 @@
         };
         set_liveness(&stream, liveness)
             .map_err(|error| ChannelError::NotSent(error.to_string()))?;
+        let allowance = Allowance::new(BYTES_BETWEEN);
+        let stream = Metered::new(stream, allowance.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(HEAD_BYTES_MAX)
             .handshake::<_, Full<Bytes>>(TokioIo::new(stream));
@@ -89,7 +135,7 @@
             // connection.
             let _ = connection.await;
         });
-        Ok(Self { sender, task: task.abort_handle() })
+        Ok(Self { sender, allowance, task: task.abort_handle() })
     }
 
     /// Returns whether the connection can accept a request now.
@@ -110,9 +156,14 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ChannelError> {
+    ) -> Result<Response<ChannelBody>, ChannelError> {
+        self.allowance.set(BYTES_BETWEEN);
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.allowance.set(BYTES_BETWEEN);
+                let allowance = self.allowance.clone();
+                Ok(response.map(|body| ChannelBody { body, allowance }))
+            }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let reason = error.into_error().to_string();
--- a/crates/bw-http/src/client.rs
+++ b/crates/bw-http/src/client.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use hyper::header::ACCEPT_ENCODING;
 use hyper::header::CONTENT_ENCODING;
@@ -24,6 +25,8 @@
 use crate::compress::GZIP;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest body of a reply, in bytes.
+const REPLY_BYTES_MAX: usize = 16 << 20;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Why a request failed.
@@ -150,7 +153,7 @@
             let status = response.status().as_u16();
             let (parts, body) = response.into_parts();
             let compressed = is_gzip(&parts.headers);
-            let collected = body.collect().await;
+            let collected = Limited::new(body, REPLY_BYTES_MAX).collect().await;
             let body = collected.map_err(|error| ClientError::Broken(error.to_string()))?;
             let body = body.to_bytes();
             if !compressed {
--- a/crates/bw-http/src/lib.rs
+++ b/crates/bw-http/src/lib.rs
@@ -5,12 +5,14 @@
 pub mod client;
 pub mod compress;
 pub mod head_guard;
+mod meter;
 pub mod reply;
 pub mod server;
 
 pub use body::read_body;
 pub use body::BodyError;
 pub use channel::Channel;
+pub use channel::ChannelBody;
 pub use channel::ChannelError;
 pub use channel::Liveness;
 pub use client::Client;
