Send maps to a large group a few at a time, from a gateway with a wide link

All were sent at once and waited for 150 ms, so that each was sent again and the gateway's news waited behind them; its silence limit of 900 ms is less than two rounds of news of 99 gateways (495 ms). The duty went from gateway to gateway, each beginning anew. Each order was also built as a JSON tree of its own. Callers take 64 addresses, the directory named all 99 in the order of their names.

Ruled out: processor time (0.077 cores of 0.24 at most); a difference instead of the whole map (orders carry the whole).

Change: maps under way are bounded by bytes, encoded once, and waited for as their answers take (150 ms to 1 s). Candidates for the duty come in the order of link and processor, which the settings state and gateways tell each other; the holder sends its news to the first three every 150 ms, the others wait a round each. A planner that hears no rank for 1.2 s resigns (open finding: 2,818 orders in 8 s from one that was cut off). The directory draws 64 addresses at random. `contact-ms`, used nowhere, is gone; a reload says that seeds, memory, descriptors and linger need a restart.

--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempts;
 pub mod budget;
+pub mod candidates;
 pub mod catalog;
 pub mod eligibility;
 pub mod endpoint;
--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -7,6 +7,8 @@
 use bw_member::PeerState;
 use bw_model::Fence;
 use bw_model::Position;
+use rand::seq::IndexedRandom;
+use rand::Rng;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -83,6 +85,15 @@
     pub fingerprint: u64,
 }
 
+/// Draws the addresses that a caller gets, of which it takes `most` at most. Every gateway is drawn equally
+/// often, whatever the order of `addresses`.
+pub fn draw_addresses<R>(addresses: &[SocketAddr], most: usize, random: &mut R) -> Vec<SocketAddr>
+where
+    R: Rng,
+{
+    addresses.choose_multiple(random, most.min(addresses.len())).copied().collect()
+}
+
 /// Length of the echoed stamp that follows the news in a datagram.
 const ECHO_BYTES: usize = 8;
 
@@ -247,6 +258,11 @@
         receivers.map(|peer| peer.address.news).collect()
     }
 
+    /// Returns the news address of a peer.
+    pub fn news_address(&self, instance: &str) -> Option<SocketAddr> {
+        self.peers.get(instance).map(|peer| peer.address.news)
+    }
+
     /// Returns the addresses of all peers that may be alive, to be sent to other peers.
     pub fn addresses(&self, now: Duration) -> Vec<PeerAddress> {
         let receivers = self.peers.values().filter(|peer| peer.receives_news(now));
--- a/crates/bw-direct/tests/peers.rs
+++ b/crates/bw-direct/tests/peers.rs
@@ -4,11 +4,17 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use bw_direct::peers::draw_addresses;
 use bw_direct::peers::Peers;
 use common::address;
 use common::news;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 const WINDOW: Duration = Duration::from_secs(10);
 
@@ -88,3 +94,21 @@
     hear(&mut peers, "b", false, seconds(5_001));
     assert_eq!(peers.part_count(WINDOW, seconds(5_001)), Some(2));
 }
+
+/// A caller takes 64 addresses; the directory of a deployment of 99 gateways must not give the same 64 each time.
+#[test]
+fn callers_of_a_large_deployment_get_every_gateway_equally_often() {
+    let socket = |number: u16| SocketAddr::from(([10, 0, 0, 1], number));
+    let all: Vec<SocketAddr> = (1..=99).map(socket).collect();
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let mut drawn: BTreeMap<SocketAddr, u32> = BTreeMap::new();
+    for _ in 0..1_000 {
+        let one = draw_addresses(&all, 64, &mut random);
+        assert_eq!(one.iter().collect::<BTreeSet<_>>().len(), 64);
+        one.into_iter().for_each(|address| *drawn.entry(address).or_default() += 1);
+    }
+    assert_eq!(drawn.len(), 99);
+    // 646 in the mean, with a standard deviation of 15.
+    assert!(drawn.values().all(|count| (550..750).contains(count)), "{drawn:?}");
+    assert_eq!(draw_addresses(&all[..3], 64, &mut random).len(), 3);
+}
--- a/crates/bw-duty/src/standby.rs
+++ b/crates/bw-duty/src/standby.rs
@@ -16,7 +16,7 @@
 /// Bounds of that silence.
 const SILENCE_RANGE: (Duration, Duration) =
     (Duration::from_millis(500), Duration::from_millis(900));
-/// Additional time for each further position in the order.
+/// Least additional time for each further position in the order.
 const POSITION_STEP: Duration = Duration::from_millis(300);
 /// Time between a failed try and the next one.
 const RETRY_PAUSE: Duration = Duration::from_millis(400);
@@ -84,13 +84,21 @@
         }
     }
 
-    /// Returns whether to try now, with `position` other processes ahead of this one in the order, when
-    /// processes send news every `round`.
+    /// Returns the instance of the last known holder other than this process.
+    pub fn holder(&self) -> Option<&str> {
+        self.holder.as_deref()
+    }
+
+    /// Returns whether to try now, with `position` other processes ahead of this one in the order, when the
+    /// holder's news arrive every `round`.
+    ///
+    /// Processes further down also wait for a round of news each, so that one that missed news of the holder
+    /// does not take the duty from it.
     pub fn should_try(&self, position: usize, round: Duration, now: Duration) -> bool {
         let (least, most) = SILENCE_RANGE;
         let silent_at = self.silent_since + (round * SILENCE_ROUNDS).clamp(least, most);
         let vacant_at = self.vacant_since.map_or(silent_at, |at| at.min(silent_at));
-        let turn_at = vacant_at + POSITION_STEP * position as u32;
+        let turn_at = vacant_at + POSITION_STEP.max(round) * position as u32;
         self.held.is_none() && now >= turn_at.max(self.retry_at)
     }
 
--- a/crates/bw-duty/tests/standby.rs
+++ b/crates/bw-duty/tests/standby.rs
@@ -113,3 +113,31 @@
     assert_eq!(standby.next_fence(Fence::new(1, 12), 2), Fence::new(2, 13));
     assert_eq!(standby.next_fence(Fence::new(2, 12), 1), Fence::new(2, 13));
 }
+
+/// 99 gateways send news every 495 ms, and the holder its own to the first three every 150 ms. A gateway
+/// that misses some news in a row does not take the duty from a holder that is well.
+#[test]
+fn lost_news_do_not_cost_a_holder_the_duty_in_a_large_deployment() {
+    let (round, beat) = (ms(495), ms(150));
+    let standby = with_holder();
+    for position in 0..3 {
+        // Three of its beats are lost.
+        assert!(!standby.should_try(position, beat, ms(1_000 + 4 * 150 + 20)), "{position}");
+    }
+    for position in 3..99 {
+        // Two of its rounds are lost.
+        let late = ms(1_000 + 3 * 495 + 20);
+        assert!(!standby.should_try(position, round, late), "{position}");
+    }
+    // The first one in order still takes over in less than a second.
+    assert!(standby.should_try(0, beat, ms(1_000 + 750)));
+}
+
+/// With rounds of a second, as in a deployment of 380 gateways.
+#[test]
+fn the_order_of_candidates_keeps_the_distance_of_a_round() {
+    let standby = with_holder();
+    let round = ms(1_000);
+    assert!(!standby.should_try(3, round, ms(1_000 + 3 * 1_000 + 500)));
+    assert!(standby.should_try(3, round, ms(1_000 + 4 * 1_000)));
+}
--- a/crates/bw-expert/src/drive/driver.rs
+++ b/crates/bw-expert/src/drive/driver.rs
@@ -187,12 +187,30 @@
         }
     }
 
-    /// Returns the commands to send now and marks them as sent.
+    /// Returns the number of commands of the current phase whose outcomes are pending.
+    pub fn pending(&self) -> usize {
+        self.progress.iter().filter(|progress| **progress == Progress::Sent).count()
+    }
+
+    /// Returns whether the commands of the current phase carry a map.
+    pub fn sends_maps(&self) -> bool {
+        matches!(self.phase, Phase::Preparing | Phase::Superseding)
+    }
+
+    /// Returns the commands to send now, and marks them as sent.
     pub fn due_commands(&mut self) -> Vec<RankCommand> {
+        self.due_commands_within(usize::MAX)
+    }
+
+    /// Returns the commands to send now, at most `most`, and marks them as sent.
+    pub fn due_commands_within(&mut self, most: usize) -> Vec<RankCommand> {
         let Some(epoch) = self.epoch else { return Vec::new() };
         let fence = self.tenure.fence();
         let mut commands = Vec::new();
         for rank in 0..self.progress.len() {
+            if commands.len() >= most {
+                break;
+            }
             if self.progress[rank] != Progress::Due {
                 continue;
             }
--- a/crates/bw-expert/src/drive/mod.rs
+++ b/crates/bw-expert/src/drive/mod.rs
@@ -23,6 +23,7 @@
 pub mod driver;
 pub mod patience;
 pub mod tenure;
+pub mod window;
 
 pub use command::Command;
 pub use command::CommandOutcome;
@@ -34,3 +35,4 @@
 pub use tenure::Owner;
 pub use tenure::Tenure;
 pub use tenure::RANKS_MIN;
+pub use window::maps_allowed;
--- a/crates/bw-expert/src/drive/patience.rs
+++ b/crates/bw-expert/src/drive/patience.rs
@@ -12,18 +12,36 @@
 const DEVIATION_WEIGHT: f64 = 0.25;
 /// Number of deviations added to the smoothed time.
 const DEVIATIONS: f64 = 4.0;
-/// Bounds of the wait. Below the lower one, commands would be repeated while the process waits for
-/// its processor.
-const WAIT_RANGE: (Duration, Duration) = (Duration::from_millis(25), Duration::from_millis(150));
+/// Bounds of the wait for answers to commands. Below the lower one, commands would be repeated while the
+/// process waits for its processor.
+pub const COMMAND_WAIT: (Duration, Duration) =
+    (Duration::from_millis(25), Duration::from_millis(150));
+/// Bounds of the wait for answers to commands that carry a map, whose transfer takes a part of the time.
+pub const MAP_WAIT: (Duration, Duration) =
+    (Duration::from_millis(150), Duration::from_millis(1_000));
 
 /// Times that a group's ranks take to answer commands.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Patience {
+    /// Shortest and longest wait.
+    range: (Duration, Duration),
     /// Smoothed time and its smoothed deviation, in seconds; `None` before the first answer.
     answers: Option<(f64, f64)>,
 }
 
+impl Default for Patience {
+    /// Creates the patience for answers to commands without a map.
+    fn default() -> Self {
+        Self::new(COMMAND_WAIT)
+    }
+}
+
 impl Patience {
+    /// Creates a patience of which no answer is known, with the shortest and the longest wait.
+    pub fn new(range: (Duration, Duration)) -> Self {
+        Self { range, answers: None }
+    }
+
     /// Records the time that an answer took.
     pub fn record(&mut self, took: Duration) {
         let took = took.as_secs_f64();
@@ -38,7 +56,7 @@
 
     /// Returns the time to wait for an answer.
     pub fn wait(&self) -> Duration {
-        let (least, most) = WAIT_RANGE;
+        let (least, most) = self.range;
         let Some((time, deviation)) = self.answers else { return most };
         Duration::from_secs_f64(time + DEVIATIONS * deviation).clamp(least, most)
     }
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bw_direct::candidates::Capacity;
 use bw_direct::peers::PeerAddress;
 use bw_kernel::unix_millis;
 use bw_kernel::BootClock;
@@ -108,7 +109,8 @@
         callers: settings.callers,
         news: settings.news,
     };
-    let peers = SharedPeers::new(address.clone(), initial_state(&settings), clock.now());
+    let capacity = Capacity::new(settings.link, settings.share);
+    let peers = SharedPeers::new(address.clone(), initial_state(&settings), capacity, clock.now());
     let config = Config::default();
     let endpoints = Endpoints::new(live.clone(), rand::random());
     let waiting = WaitQueues::new(endpoints.clone(), clock);
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -9,9 +9,15 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_adapter::directory::ADDRESSES_MAX;
+use bw_direct::candidates;
+use bw_direct::candidates::Capacity;
+use bw_direct::candidates::CapacityNews;
+use bw_direct::candidates::WATCHERS;
 use bw_direct::limits::LimitNews;
 use bw_direct::notices::LeavingNews;
 use bw_direct::peers::add_echo;
+use bw_direct::peers::draw_addresses;
 use bw_direct::peers::split_echo;
 use bw_direct::peers::News;
 use bw_direct::peers::NewsOutcome;
@@ -46,6 +52,8 @@
 /// Time that each live gateway adds to the interval between rounds, so that the rate at which one
 /// gateway sends stays bounded.
 const INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(5);
+/// Time between the news that the holder of the planning duty sends to the first candidates for it.
+const BEAT_INTERVAL: Duration = Duration::from_millis(150);
 /// Number of rounds from one whose news list the addresses of all other gateways to the next such
 /// round.
 const ADDRESS_PERIOD: u64 = 40;
@@ -65,6 +73,8 @@
 const LIMIT_NEWS_MARK: u8 = u8::MAX - 1;
 /// First byte of a datagram with endpoints that are leaving.
 const LEAVING_NEWS_MARK: u8 = u8::MAX - 2;
+/// First byte of a datagram with the sender's capacity.
+const CAPACITY_NEWS_MARK: u8 = u8::MAX - 3;
 /// Limits or leaving endpoints in one datagram, which fits into [`DATAGRAM_MAX`] with them.
 const RARE_NEWS_MAX: usize = 512;
 /// Largest datagram, in bytes, that is received whole.
@@ -75,6 +85,10 @@
     own: PeerState,
     ready: bool,
     duty: Standby,
+    /// Capacity of each gateway that has told it, this one included.
+    capacities: HashMap<String, Capacity>,
+    /// Whether a peer may not know this gateway's capacity.
+    capacity_due: bool,
     /// Last stamp of each peer by the peer's news address, to be echoed to the peer.
     stamps: HashMap<SocketAddr, u64>,
     /// Time at which the store last answered this gateway directly.
@@ -86,6 +100,17 @@
     ahead_peer: Option<SocketAddr>,
 }
 
+impl State {
+    /// Returns the candidates for the planning duty in their order, `own` included and its last known
+    /// holder excluded.
+    fn candidates<'a>(&'a self, own: &'a str, now: Duration) -> Vec<&'a str> {
+        let holder = self.duty.holder();
+        let live = self.peers.live(now).map(|peer| peer.instance.as_str());
+        let others = live.filter(|instance| Some(*instance) != holder);
+        candidates::order(others.chain([own]), &self.capacities)
+    }
+}
+
 /// Handle to the state of this gateway and of its peers, shared by the gateway's services.
 #[derive(Clone)]
 pub struct SharedPeers {
@@ -102,13 +127,15 @@
 
 impl SharedPeers {
     /// Creates an empty set of peers for the gateway with this address and initial state.
-    pub fn new(address: PeerAddress, own: PeerState, now: Duration) -> Self {
+    pub fn new(address: PeerAddress, own: PeerState, capacity: Capacity, now: Duration) -> Self {
         let peers = Peers::new(address.instance.clone());
         let state = State {
             peers,
             own,
             ready: false,
             duty: Standby::new(now),
+            capacities: HashMap::from([(address.instance.clone(), capacity)]),
+            capacity_due: true,
             stamps: HashMap::new(),
             store_answer: None,
             listing: (Position::default(), Position::default()),
@@ -170,16 +197,22 @@
                 addresses.push(self.address.callers);
             }
         }
-        addresses
+        drop(state);
+        draw_addresses(&addresses, ADDRESSES_MAX, &mut rand::rng())
     }
 
     /// Returns whether this gateway should try to acquire the planning duty.
     pub fn should_acquire_duty(&self, now: Duration) -> bool {
         let state = self.lock();
-        let own = &self.address.instance;
-        let position = state.peers.live(now).filter(|peer| peer.instance < *own).count();
+        if !state.ready || state.own.leaving {
+            return false;
+        }
+        let own = self.address.instance.as_str();
+        let order = state.candidates(own, now);
+        let position = order.iter().take_while(|instance| **instance != own).count();
         let round = news_interval(state.peers.live_count(now));
-        state.ready && !state.own.leaving && state.duty.should_try(position, round, now)
+        let round = if position < WATCHERS { round.min(BEAT_INTERVAL) } else { round };
+        state.duty.should_try(position, round, now)
     }
 
     /// Returns the fencing number to acquire the planning duty with, given the one in the lease and the
@@ -321,6 +354,7 @@
         let mut buffer = vec![0; DATAGRAM_MAX];
         let mut rounds = 0;
         let mut next = Instant::now();
+        let mut beat = next;
         loop {
             tokio::select! {
                 () = tokio::time::sleep_until(next) => {
@@ -334,6 +368,10 @@
                     rounds += 1;
                     next = Instant::now() + news_interval(self.peers.live_count(self.clock.now()));
                 }
+                () = tokio::time::sleep_until(beat), if self.peers.duty().is_some() => {
+                    self.send_beat(&socket);
+                    beat = Instant::now() + BEAT_INTERVAL;
+                }
                 () = self.peers.urgent.notified() => self.send_news(&socket, rounds).await,
                 received = socket.recv_from(&mut buffer) => match received {
                     Ok((length, _)) => self.receive(&buffer[..length]),
@@ -354,29 +392,9 @@
         self.update_position(now);
         self.endpoints.eject_all_outliers(now);
         let with_addresses = round % ADDRESS_PERIOD == 0;
-        let works = self.endpoints.work_news(now);
-        let paces = self.endpoints.pace_news();
-        let suspects = self.suspects.news();
-        let proof = self.config.proof_age(now).map(|age| age.as_millis() as u32);
-        let (news, targets) = {
-            let mut state = self.peers.lock();
-            state.own.seq += 1;
-            state.own.version = self.config.version();
-            let others = if with_addresses { state.peers.addresses(now) } else { Vec::new() };
-            let news = News {
-                state: state.own.clone(),
-                address: self.peers.address.clone(),
-                stamp: self.peers.stamp_base + now.as_millis() as u64,
-                ready: state.ready,
-                proof,
-                store: state.store_answer.map(|at| now.saturating_sub(at).as_millis() as u32),
-                listing: state.listing.0,
-                duty: state.duty.held(),
-                paces,
-                works,
-                suspects,
-                others,
-            };
+        let Some(bytes) = self.encode_news(with_addresses, now) else { return };
+        let targets = {
+            let state = self.peers.lock();
             let mut targets = state.peers.news_addresses(now);
             if with_addresses {
                 let own = self.peers.address.news;
@@ -384,14 +402,7 @@
                 let seeds: Vec<SocketAddr> = self.seeds.iter().filter(unknown).copied().collect();
                 targets.extend(seeds);
             }
-            (news, targets)
-        };
-        let bytes = match encode(&news) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                warn!("event=news_unsent reason=\"{error}\"");
-                return;
-            }
+            targets
         };
         let mut rare_news: Vec<Vec<u8>> = self.encode_part_news().into_iter().collect();
         let limits = self.endpoints.limit_news(now);
@@ -400,18 +411,85 @@
         let leaving = self.endpoints.leaving_news(now);
         let leaving = leaving.chunks(RARE_NEWS_MAX);
         rare_news.extend(leaving.filter_map(|part| encode_rare(LEAVING_NEWS_MARK, &part.to_vec())));
+        rare_news.extend(self.encode_capacity(with_addresses));
+        self.send_to(socket, &bytes, &targets);
+        for target in targets {
+            for news in &rare_news {
+                let _ = socket.try_send_to(news, target);
+            }
+        }
+    }
+
+    /// Sends news to the first candidates for the planning duty, which this gateway holds.
+    fn send_beat(&self, socket: &UdpSocket) {
+        let now = self.clock.now();
+        let targets: Vec<SocketAddr> = {
+            let state = self.peers.lock();
+            let own = self.peers.address.instance.as_str();
+            let order = state.candidates(own, now).into_iter().filter(|instance| *instance != own);
+            order.take(WATCHERS).filter_map(|instance| state.peers.news_address(instance)).collect()
+        };
+        if let Some(bytes) = self.encode_news(false, now) {
+            self.send_to(socket, &bytes, &targets);
+        }
+    }
+
+    /// Sends encoded news to each target, with the echo of the target's last stamp.
+    fn send_to(&self, socket: &UdpSocket, bytes: &[u8], targets: &[SocketAddr]) {
         let stamps = self.peers.lock().stamps.clone();
         for target in targets {
-            let echo = stamps.get(&target).copied().unwrap_or(NO_STAMP);
+            let echo = stamps.get(target).copied().unwrap_or(NO_STAMP);
             // A datagram that the kernel does not accept at once is dropped, like one that is lost
             // in the network.
-            let _ = socket.try_send_to(&add_echo(&bytes, echo), target);
-            for news in &rare_news {
-                let _ = socket.try_send_to(news, target);
+            let _ = socket.try_send_to(&add_echo(bytes, echo), *target);
+        }
+    }
+
+    /// Returns this gateway's news, encoded, with the addresses of the other gateways if wanted.
+    fn encode_news(&self, with_addresses: bool, now: Duration) -> Option<Vec<u8>> {
+        let works = self.endpoints.work_news(now);
+        let paces = self.endpoints.pace_news();
+        let suspects = self.suspects.news();
+        let proof = self.config.proof_age(now).map(|age| age.as_millis() as u32);
+        let mut state = self.peers.lock();
+        state.own.seq += 1;
+        state.own.version = self.config.version();
+        let others = if with_addresses { state.peers.addresses(now) } else { Vec::new() };
+        let news = News {
+            state: state.own.clone(),
+            address: self.peers.address.clone(),
+            stamp: self.peers.stamp_base + now.as_millis() as u64,
+            ready: state.ready,
+            proof,
+            store: state.store_answer.map(|at| now.saturating_sub(at).as_millis() as u32),
+            listing: state.listing.0,
+            duty: state.duty.held(),
+            paces,
+            works,
+            suspects,
+            others,
+        };
+        drop(state);
+        match encode(&news) {
+            Ok(bytes) => Some(bytes),
+            Err(error) => {
+                warn!("event=news_unsent reason=\"{error}\"");
+                None
             }
         }
     }
 
+    /// Returns the datagram with this gateway's capacity if a peer may not know it, or if `wanted`.
+    fn encode_capacity(&self, wanted: bool) -> Option<Vec<u8>> {
+        let mut state = self.peers.lock();
+        if !std::mem::take(&mut state.capacity_due) && !wanted {
+            return None;
+        }
+        let instance = self.peers.address.instance.clone();
+        let capacity = state.capacities.get(&instance).copied().unwrap_or_default();
+        encode_rare(CAPACITY_NEWS_MARK, &CapacityNews { instance, capacity })
+    }
+
     /// Returns the datagram with the news about parts of prompts; `None` while there are none, as in
     /// normal operation.
     fn encode_part_news(&self) -> Option<Vec<u8>> {
@@ -461,6 +539,10 @@
             LIMIT_NEWS_MARK => {
                 self.endpoints.receive_limits(&decode::<Vec<LimitNews>>(bytes)?, now);
             }
+            CAPACITY_NEWS_MARK => {
+                let news: CapacityNews = decode(bytes)?;
+                self.peers.lock().capacities.insert(news.instance, news.capacity);
+            }
             _ => self.endpoints.receive_leaving(&decode::<Vec<LeavingNews>>(bytes)?, now),
         }
         Ok(())
@@ -469,7 +551,7 @@
     /// Decodes a datagram and applies its news.
     fn receive(&self, bytes: &[u8]) {
         let (mark, rest) = bytes.split_first().map_or((0, bytes), |(mark, rest)| (*mark, rest));
-        if mark >= LEAVING_NEWS_MARK {
+        if mark >= CAPACITY_NEWS_MARK {
             if let Err(error) = self.receive_rare(mark, rest) {
                 warn!("event=news_unreadable reason=\"{error}\"");
             }
@@ -494,6 +576,7 @@
             NewsOutcome::First => {
                 info!("event=peer_heard peer={} life={}", instance, news.state.incarnation);
                 self.suspects.announce();
+                self.peers.lock().capacity_due = true;
                 // Sends news at once, so that the new peer does not learn of this gateway only in
                 // the next round.
                 self.peers.urgent.notify_one();
--- a/crates/bw-gateway/src/planner/calls.rs
+++ b/crates/bw-gateway/src/planner/calls.rs
@@ -8,6 +8,7 @@
 use bw_expert::drive::CommandOutcome;
 use bw_expert::drive::RankCommand;
 use bw_http::Client;
+use bytes::Bytes;
 use hyper::Method;
 use log::warn;
 use tokio::time::Instant;
@@ -70,12 +71,12 @@
     group: String,
     address: SocketAddr,
     command: RankCommand,
-    body: serde_json::Value,
+    body: Bytes,
     wait: Duration,
 ) -> Event {
     let sent_at = Instant::now();
     let url = format!("http://{address}{}", engines::ORDER_PATH);
-    let outcome = match client.call(Method::POST, &url, Some(&body), wait).await {
+    let outcome = match client.call_encoded(Method::POST, &url, body, wait).await {
         Ok(reply) => engines::decode_answer(reply.status),
         Err(error) => {
             warn!("event=order_unanswered rank={address} group={group} reason=\"{error}\"");
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -5,17 +5,23 @@
 use std::time::Duration;
 
 use bw_adapter::engines;
+use bw_adapter::ObjectError;
 use bw_direct::catalog::Engine;
 use bw_direct::catalog::ExpertShape;
+use bw_expert::drive::maps_allowed;
+use bw_expert::drive::patience::MAP_WAIT;
+use bw_expert::drive::Command;
 use bw_expert::drive::Driver;
 use bw_expert::drive::Patience;
 use bw_expert::drive::Phase;
+use bw_expert::drive::RankCommand;
 use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::RankExperts;
 use bw_expert::policy::sample::SampleTime;
 use bw_expert::policy::sample::Sampler;
 use bw_http::Client;
 use bw_model::Fence;
+use bytes::Bytes;
 use log::info;
 
 use super::calls::read_held_experts;
@@ -30,9 +36,13 @@
 const REPORT_INTERVAL_JUMP: Duration = Duration::from_millis(250);
 /// Minimum pace at which a rank counts as slow.
 pub const SLOW_PACE: f64 = 1.15;
+/// Time without an answer of any rank of an open group after which the gateway takes itself for cut off.
+const UNHEARD_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Shortest and longest length that a step is assumed to have.
 const STEP_LENGTH_RANGE: (Duration, Duration) =
     (Duration::from_millis(10), Duration::from_millis(1_000));
+/// Bytes of an expert in an encoded map, the comma included.
+const ENTRY_BYTES: usize = 4;
 /// Maximum number of steps after the last known one that are assumed to have started.
 const STEPS_AHEAD_MAX: u64 = 10;
 
@@ -77,8 +87,14 @@
     /// Age of the data in a rank's reports.
     pub report_lag: Duration,
     pub driver: Driver,
-    /// Time to wait for answers to commands.
+    /// Time to wait for answers to commands that carry no map.
     pub patience: Patience,
+    /// Time to wait for answers to commands that carry a map.
+    pub map_patience: Patience,
+    /// Encoded order of the last prepare command, which is the same for all ranks.
+    prepare_order: Option<(RankCommand, Bytes)>,
+    /// Time of the last answer of any rank.
+    pub heard_at: Duration,
     pub sampler: Sampler,
     /// Pace of each rank: the factor by which the rank is slower than it should be.
     pub paces: Vec<f64>,
@@ -147,6 +163,9 @@
             view,
             driver,
             patience: Patience::default(),
+            map_patience: Patience::new(MAP_WAIT),
+            prepare_order: None,
+            heard_at: now,
             map: None,
             next_map: None,
             held_experts: HashMap::new(),
@@ -209,6 +228,46 @@
         }
     }
 
+    /// Returns the commands to send now. Those that carry a map are sent a few at a time.
+    pub fn due_commands(&mut self) -> Vec<RankCommand> {
+        if !self.driver.sends_maps() {
+            return self.driver.due_commands();
+        }
+        let bytes = self.prepare_order.as_ref().map_or(0, |(_, body)| body.len());
+        let bytes = bytes.max(self.map_bytes());
+        let allowed = maps_allowed(bytes, self.driver.pending());
+        self.driver.due_commands_within(allowed)
+    }
+
+    /// Returns the approximate size of an order that carries a map.
+    fn map_bytes(&self) -> usize {
+        let map = self.map_to_prepare().unwrap_or_default();
+        let entries: usize = map.iter().flat_map(|set| &set.ranks).map(|held| held.len()).sum();
+        entries * ENTRY_BYTES
+    }
+
+    /// Encodes a command as an order.
+    ///
+    /// # Errors
+    /// Those of [`engines::encode_order`].
+    pub fn encode_order(&mut self, command: &RankCommand) -> Result<Bytes, ObjectError> {
+        let same = |known: &RankCommand| RankCommand { rank: command.rank, ..*known } == *command;
+        if let Some((_, body)) = self.prepare_order.as_ref().filter(|(known, _)| same(known)) {
+            return Ok(body.clone());
+        }
+        let body = engines::encode_order(command, self.map_to_prepare().unwrap_or_default())?;
+        if matches!(command.command, Command::Prepare(_)) {
+            self.prepare_order = Some((*command, body.clone()));
+        }
+        Ok(body)
+    }
+
+    /// Returns whether no rank of an open group has answered for long, although calls are under way.
+    pub fn is_unheard(&self, now: Duration) -> bool {
+        let asking = self.pending_reads > 0 || self.pending_counts > 0 || self.driver.pending() > 0;
+        asking && self.view.is_open() && now.saturating_sub(self.heard_at) > UNHEARD_TIMEOUT
+    }
+
     /// Requests the experts that the ranks hold, which show the map in use, unless earlier reads are
     /// pending.
     pub fn request_held_experts(&mut self, client: &Client, calls: &mut Vec<Call>) {
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -11,7 +11,6 @@
 use std::convert::Infallible;
 use std::time::Duration;
 
-use bw_adapter::engines;
 use bw_adapter::Object;
 use bw_duty::Lease;
 use bw_expert::drive::Command;
@@ -53,8 +52,6 @@
 const STUCK_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time before the expected start of the first step of a new map in which the step has to be held.
 const HOLD_LEAD: Duration = Duration::from_millis(40);
-/// Time to wait for the answer to a command that carries a map.
-const MAP_WAIT: Duration = Duration::from_millis(150);
 /// Interval between queries of whether ranks have copied their experts.
 const COPY_POLL_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -210,8 +207,12 @@
         match event {
             Event::Answered(name, command, outcome, took) => {
                 let Some(group) = groups.get_mut(&name) else { return };
-                if outcome != CommandOutcome::Unknown && !carries_map(&command) {
-                    group.patience.record(took);
+                if outcome != CommandOutcome::Unknown {
+                    group.heard_at = now;
+                    match carries_map(&command) {
+                        true => group.map_patience.record(took),
+                        false => group.patience.record(took),
+                    }
                 }
                 if matches!(outcome, CommandOutcome::Refused | CommandOutcome::Stale) {
                     info!(
@@ -230,6 +231,7 @@
                 let Some(group) = groups.get_mut(&name) else { return };
                 group.pending_reads = group.pending_reads.saturating_sub(1);
                 if let Some(report) = report {
+                    group.heard_at = now;
                     let state = report.state;
                     group.record_step(state.step, now.saturating_sub(group.report_lag));
                     if asked_at >= group.fresh_after {
@@ -246,6 +248,7 @@
                 let Some(group) = groups.get_mut(&name) else { return };
                 group.pending_counts = group.pending_counts.saturating_sub(1);
                 if let Some(counts) = counts {
+                    group.heard_at = now;
                     group.record_step(counts.step, now);
                     match group.sampling {
                         Sampling::Rebase => {
@@ -269,6 +272,7 @@
                 let Some(group) = groups.get_mut(&name) else { return };
                 group.pending_reads = group.pending_reads.saturating_sub(1);
                 if let Some(held) = held {
+                    group.heard_at = now;
                     group.held_experts.insert(rank, held);
                     group.assemble_map();
                 }
@@ -298,6 +302,11 @@
             self.peers.resign_duty(now);
             return calls;
         }
+        if group.is_unheard(now) {
+            warn!("event=ranks_unheard group={} phase={:?}", group.view.name, group.phase);
+            self.peers.resign_duty(now);
+            return calls;
+        }
         let jumped = self.endpoints.has_step_jumped(&group.view.name, now);
         if group.are_reports_due(jumped, now) {
             group.request_reports(client, now, &mut calls);
@@ -322,21 +331,25 @@
             group.request_held_experts(client, &mut calls);
             return calls;
         }
-        for command in group.driver.due_commands() {
+        for command in group.due_commands() {
             let Some(address) = group.view.address(command.rank) else {
                 group.driver.handle_outcome(&command, CommandOutcome::Unknown);
                 continue;
             };
-            let map = group.map_to_prepare().unwrap_or_default();
-            let body = engines::encode_order(&command, map);
-            calls.push(Box::pin(send_command(
-                client.clone(),
-                group.view.name.clone(),
-                address,
-                command,
-                body,
-                if carries_map(&command) { MAP_WAIT } else { group.patience.wait() },
-            )));
+            let body = match group.encode_order(&command) {
+                Ok(body) => body,
+                Err(error) => {
+                    warn!("event=order_unsent rank={address} reason=\"{error}\"");
+                    continue;
+                }
+            };
+            let wait = if carries_map(&command) {
+                group.map_patience.wait()
+            } else {
+                group.patience.wait()
+            };
+            let (client, name) = (client.clone(), group.view.name.clone());
+            calls.push(Box::pin(send_command(client, name, address, command, body, wait)));
         }
         calls
     }
--- a/crates/bw-gateway/src/reload.rs
+++ b/crates/bw-gateway/src/reload.rs
@@ -50,8 +50,8 @@
     }
 
     /// Puts settings into force, except the identity of the gateway, the addresses of open sockets,
-    /// the address and call rate of the store, and the log filter, which stay as they were at the
-    /// start.
+    /// the address and call rate of the store, what only the start uses of the instance's size, and the log
+    /// filter, which stay as they were at the start.
     ///
     /// Returns whether one of these exceptions has changed, so that a restart is required.
     pub fn set(&self, next: &Settings) -> bool {
@@ -68,6 +68,12 @@
                 news: current.news,
                 platform: current.platform.clone(),
                 rate: current.rate,
+                seeds: current.seeds.clone(),
+                memory: current.memory,
+                descriptors: current.descriptors,
+                linger: current.linger,
+                link: current.link,
+                share: current.share,
                 log: current.log.clone(),
                 ..next.clone()
             };
--- a/crates/bw-gateway/src/settings.rs
+++ b/crates/bw-gateway/src/settings.rs
@@ -45,15 +45,16 @@
     /// Time after SIGTERM during which new connections are still accepted, since callers cache
     /// addresses.
     pub linger: Duration,
-    /// Time after which a leaving endpoint receives no new work. Checked, but not used.
+    /// Width of the instance's network link, in Mbit/s.
+    pub link: f64,
+    /// Share of a processor that the gateway may use.
+    pub share: f64,
+    /// Time after an endpoint's first notice that it is leaving from which it must get no request.
     pub drain: Duration,
     /// Time limit for putting an accepted configuration into force.
     pub apply: Duration,
     /// Time limit after which a revoked key is no longer accepted.
     pub revoke: Duration,
-    /// Time without faults after which an instance is considered undisturbed. Checked, but not
-    /// used.
-    pub contact: Duration,
     /// Retries that each request adds to the budget in the window.
     pub retry_ratio: f64,
     /// Retries permitted in the window beyond those that requests add, over all gateways.
@@ -111,12 +112,13 @@
         let rate = section.ranged("platform-calls-per-second", (0.1, 1e4), 25.0, &mut faults);
         let memory = section.ranged("memory-mb", (16, 1_048_576), 256, &mut faults);
         let descriptors = section.ranged("descriptors", (256, 1_048_576), 4_096, &mut faults);
+        let link = section.ranged("link-mbps", (0.001, 1e7), 1_000.0, &mut faults);
+        let share = section.ranged("processor-share", (0.001, 1_024.0), 1.0, &mut faults);
         let grace = section.ranged("grace-s", (0.0, 3_600.0), 8.0, &mut faults);
         let linger = section.millis("linger-ms", (0, MINUTE), 2_500, &mut faults);
         let drain = section.millis("drain-ms", (0, MINUTE), 2_000, &mut faults);
         let apply = section.millis("config-apply-ms", (100, MINUTE), 2_000, &mut faults);
         let revoke = section.millis("revoke-ms", (100, MINUTE), 5_000, &mut faults);
-        let contact = section.millis("contact-ms", (100, MINUTE), 3_000, &mut faults);
         let retry_ratio = section.ranged("retry-ratio", (0.0, 1.0), 0.2, &mut faults);
         let retry_slack = section.ranged("retry-slack", (0.0, 1e6), 50.0, &mut faults);
         let retry_window = section.ranged("retry-window-s", (1.0, 600.0), 10.0, &mut faults);
@@ -150,12 +152,13 @@
             rate,
             memory,
             descriptors,
+            link,
+            share,
             grace: Duration::from_secs_f64(grace),
             linger,
             drain,
             apply,
             revoke,
-            contact,
             retry_ratio,
             retry_slack,
             retry_window: Duration::from_secs_f64(retry_window),
--- a/crates/bw-http/src/client.rs
+++ b/crates/bw-http/src/client.rs
@@ -140,13 +140,27 @@
                 .map_err(|error| ClientError::InvalidRequest(error.to_string()))?,
             None => Vec::new(),
         };
+        self.call_encoded(method, url, Bytes::from(bytes), limit).await
+    }
+
+    /// Sends a request whose body is JSON text already and reads the whole reply, all within `limit`.
+    ///
+    /// # Errors
+    /// As [`Client::call`].
+    pub async fn call_encoded(
+        &self,
+        method: Method,
+        url: &str,
+        bytes: Bytes,
+        limit: Duration,
+    ) -> Result<Reply, ClientError> {
         let mut request =
             Request::builder().method(method).uri(url).header("content-type", "application/json");
         if self.accepts_gzip {
             request = request.header(ACCEPT_ENCODING, GZIP);
         }
         let request = request
-            .body(Full::from(bytes))
+            .body(Full::new(bytes))
             .map_err(|error| ClientError::InvalidRequest(error.to_string()))?;
         let exchange = async {
             let response = self.send(request, limit).await?;
