Read the counts of as many ranks as a timely step can afford

Cause: a rank that is asked for its counts by another machine holds the whole group up: 4.8 ms for 10 sets of 384 experts. After each shift six ranks were read at once, 29 ms, when a step already takes 115 to 140 of the 150 ms that are timely, so that the reading itself made streams late.

Ruled out: the time to prepare (0.34 to 0.39 s of 1.0 to 1.3 s from shift to map), which stays.

Change: `policy::reading` reads as many ranks as hold a step up by at most 0.08 of the longest timely pause: 2 on 192 ranks, 4 on 72 and 1 on 16, as before there. Also: a gateway that cannot register reads the list of the others all the same, and one that knows of no other has no part of budgets and limits until it has read it (open finding).

--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -197,12 +197,19 @@
 pub struct Peers {
     peers: BTreeMap<String, Peer>,
     own: String,
+    /// Whether the store's list of gateways was read.
+    listed: bool,
 }
 
 impl Peers {
     /// Creates an empty set of peers for the gateway on instance `own`.
     pub fn new(own: String) -> Self {
-        Self { peers: BTreeMap::new(), own }
+        Self { peers: BTreeMap::new(), own, listed: false }
+    }
+
+    /// Records that the store's list of gateways was read, so that all that have registered are known.
+    pub fn record_listed(&mut self) {
+        self.listed = true;
     }
 
     /// Adds a gateway that the store or a peer reported, unless it is already known.
@@ -301,7 +308,8 @@
     ///
     /// A peer counts until what it has spent is out of the window. Otherwise the parts of the others
     /// would grow while it leaves, or while the network is cut. A gateway that has heard less than half of the
-    /// others for long has no part, since they may have forgotten it.
+    /// others for long has no part, since they may have forgotten it. One that knows of no other has none
+    /// until it has read the store's list.
     pub fn part_count(&self, window: Duration, now: Duration) -> Option<usize> {
         let members = self.members(window, now).count();
         self.hears_half(window, now).then_some(1 + members)
@@ -331,6 +339,9 @@
     /// Returns whether at least half of the other gateways have been heard so recently that none of
     /// them can have forgotten this one, nor spent its part, for a window.
     fn hears_half(&self, window: Duration, now: Duration) -> bool {
+        if self.peers.is_empty() && !self.listed {
+            return false;
+        }
         let recent = GONE_AFTER.saturating_sub(window);
         let heard =
             |peer: &&Peer| peer.last_seen.is_some_and(|at| now.saturating_sub(at) <= recent);
--- a/crates/bw-direct/tests/peers.rs
+++ b/crates/bw-direct/tests/peers.rs
@@ -112,3 +112,13 @@
     assert!(drawn.values().all(|count| (550..750).contains(count)), "{drawn:?}");
     assert_eq!(draw_addresses(&all[..3], 64, &mut random).len(), 3);
 }
+
+/// The store cannot be reached from its start, and no peer is heard: others may be spending all there is.
+#[test]
+fn a_gateway_that_knows_of_no_other_has_no_part_until_it_has_read_the_list() {
+    let mut peers = Peers::new("a".to_string());
+    assert_eq!(peers.part_count(WINDOW, seconds(60)), None);
+    assert_eq!(peers.part_owners(WINDOW, seconds(60)), None);
+    peers.record_listed();
+    assert_eq!(peers.part_count(WINDOW, seconds(60)), Some(1));
+}
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -156,6 +156,11 @@
         self.lock().peers.add(address, now);
     }
 
+    /// Records that the store's list of gateways was read.
+    pub fn record_listed(&self) {
+        self.lock().peers.record_listed();
+    }
+
     /// Announces to the peers that callers should no longer be sent to this gateway.
     pub fn announce_leaving(&self) {
         self.lock().own.leaving = true;
--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use bw_adapter::engines;
 use bw_expert::drive::Phase;
+use bw_expert::policy::reading::ranks_to_read;
 use bw_expert::policy::replicas::improve;
 use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::RankLimits;
@@ -30,11 +32,6 @@
 /// Time from the second read after steps have become longer to the read that refines the estimate
 /// of the new demand.
 const SAMPLE_INTERVAL_REFINE: Duration = Duration::from_millis(400);
-/// Divisor of the number of ranks in a group that gives the number of ranks whose counts are read
-/// after a shift of demand.
-const SHIFT_RANKS_DIVISOR: usize = 18;
-/// Maximum number of ranks whose counts are read after a shift of demand.
-const SHIFT_RANKS_MAX: usize = 6;
 /// Time after a read of counts or the start of a switch during which longer steps are not taken
 /// for a shift of demand.
 const JUMP_HOLDOFF: Duration = Duration::from_millis(350);
@@ -168,7 +165,11 @@
 fn request_counts(group: &mut Group, client: &Client, calls: &mut Vec<Call>) {
     let ranks = match group.sampling {
         Sampling::Steady => 1,
-        _ => (group.view.ranks.len() / SHIFT_RANKS_DIVISOR).clamp(1, SHIFT_RANKS_MAX),
+        _ => {
+            let counts = group.shape.sets * group.shape.experts;
+            let rest = engines::REST_PER_COUNT * counts as u32;
+            ranks_to_read(group.view.ranks.len(), rest, group.max_pause)
+        }
     };
     for (rank, address) in group.view.addresses().into_iter().take(ranks) {
         group.pending_counts += 1;
--- a/crates/bw-gateway/src/sync/join.rs
+++ b/crates/bw-gateway/src/sync/join.rs
@@ -40,15 +40,8 @@
     }
 
     async fn try_join(&self, own: &PeerAddress) -> Result<(), StoreError> {
-        let object = Object::new(GATEWAYS, &own.instance, 0, own)?;
-        match self.store.create(Purpose::Write, &object).await {
-            Err(StoreError::Conflict) => {
-                self.store.replace(Purpose::Write, &object).await?;
-            }
-            created => {
-                created?;
-            }
-        }
+        // The others are known, and have their parts of what all may spend, even if this gateway cannot register.
+        let registered = self.register(own).await;
         let (list, _) = self.store.list_all(GATEWAYS).await?;
         let now = self.clock.now();
         for object in list {
@@ -57,6 +50,16 @@
                 Err(error) => warn!("event=gateway_unreadable reason=\"{error}\""),
             }
         }
+        self.peers.record_listed();
+        registered
+    }
+
+    async fn register(&self, own: &PeerAddress) -> Result<(), StoreError> {
+        let object = Object::new(GATEWAYS, &own.instance, 0, own)?;
+        match self.store.create(Purpose::Write, &object).await {
+            Err(StoreError::Conflict) => self.store.replace(Purpose::Write, &object).await?,
+            created => created?,
+        };
         Ok(())
     }
 }
