--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -42,6 +42,9 @@
     Truncated(String),
     /// Runs the request and sends the answer twice on the connection.
     Duplicate(String),
+    /// Runs the request and sends the answer to the connection's last request once more, with the given body,
+    /// before the answer to this one.
+    LateDuplicate(String),
     /// Runs the request and answers with another attempt's id.
     WrongAttempt(String),
     /// Runs the request and resets the connection.
@@ -197,6 +200,7 @@
 
     async fn serve(&self, mut stream: TcpStream) -> io::Result<()> {
         let mut buffer = Vec::new();
+        let mut last: Option<String> = None;
         while let Some(request) = read_request(&mut stream, &mut buffer).await? {
             let behaviour = {
                 let mut state = self.lock();
@@ -214,19 +218,22 @@
                     state.observed.runs.push(attempt.clone());
                 }
             });
-            if !self.respond(&mut stream, &behaviour, &request).await? {
+            if !self.respond(&mut stream, &behaviour, &request, last.as_deref()).await? {
                 return Ok(());
             }
+            last = Some(attempt);
         }
         Ok(())
     }
 
-    /// Handles one request; returns false if the connection is to be closed.
+    /// Handles one request; returns false if the connection is to be closed. `last` is the attempt of the
+    /// connection's last request.
     async fn respond(
         &self,
         stream: &mut TcpStream,
         behaviour: &Behaviour,
         request: &ReceivedRequest,
+        last: Option<&str>,
     ) -> io::Result<bool> {
         let (limit, leaving) = {
             let state = self.lock();
@@ -265,6 +272,17 @@
                 stream.write_all(format!("{head}{body}{head}{body}").as_bytes()).await?;
                 return Ok(true);
             }
+            Behaviour::LateDuplicate(body) => {
+                if let Some(last) = last {
+                    let attempt = Some(last.to_string());
+                    let metadata = ReplyMetadata { attempt, ..metadata.clone() };
+                    let head = head(200, &metadata, &content_length(body));
+                    stream.write_all(format!("{head}{body}").as_bytes()).await?;
+                }
+                let head = ok_head(&content_length("fine"));
+                stream.write_all(format!("{head}fine").as_bytes()).await?;
+                return Ok(true);
+            }
             Behaviour::WrongAttempt(body) => {
                 let metadata =
                     ReplyMetadata { attempt: Some("another".to_string()), ..metadata.clone() };
--- a/crates/bw-gateway/tests/once.rs
+++ b/crates/bw-gateway/tests/once.rs
@@ -6,6 +6,7 @@
 
 use bw_fake::endpoint::event_text;
 use bw_fake::endpoint::Behaviour;
+use common::read_reply;
 use common::request;
 use common::Rig;
 use http_body_util::BodyExt;
@@ -201,3 +202,26 @@
     assert!(!rig.endpoints[0].observed().runs.contains(&"a-2".to_string()));
     rig.stop().await;
 }
+
+/// The copy comes when the connection already carries the next request.
+#[tokio::test]
+async fn a_late_copy_of_an_answer_reaches_no_other_caller() {
+    let late = Behaviour::LateDuplicate("not yours".to_string());
+    let rig = Rig::start(&[late]).await;
+    let mut copies = 0;
+    for number in 0..20 {
+        let mut channel = rig.connect().await;
+        let request = request("POST", "/order/1", "once", &format!("a-{number}"));
+        let reply = read_reply(channel.send(request).await.unwrap()).await;
+        match reply.status {
+            200 => assert_eq!(reply.body.as_deref(), Some("fine")),
+            status => {
+                assert_eq!(status, 502);
+                copies += 1;
+            }
+        }
+    }
+    assert!(copies > 0, "no copy was sent");
+    assert_eq!(rig.endpoints[0].observed().runs.len(), 20);
+    rig.stop().await;
+}
