--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -16,8 +16,17 @@
 use crate::load::Work;
 use crate::relay::LocalPeer;
 
-/// Time without news after which callers are no longer sent to a peer.
+/// Shortest and longest time between two rounds of news.
+const ROUND_INTERVAL: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_millis(1_000));
+/// Time that each live gateway adds to the interval between rounds, so that the rate at which one
+/// gateway sends stays bounded.
+const INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(5);
+/// Least time without news after which callers are no longer sent to a peer.
 pub const LIVE_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Rounds without news after which callers are no longer sent to a peer, if that is longer. One lost datagram is
+/// no reason.
+const LIVE_ROUNDS: f64 = 2.4;
 /// Time without news after which a peer is no longer sent news.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 
@@ -94,6 +103,11 @@
     addresses.choose_multiple(random, most.min(addresses.len())).copied().collect()
 }
 
+/// Returns the time between two rounds of news of each of `gateways` gateways.
+pub fn news_interval(gateways: usize) -> Duration {
+    (INTERVAL_PER_GATEWAY * gateways as u32).clamp(ROUND_INTERVAL.0, ROUND_INTERVAL.1)
+}
+
 /// Length of the echoed stamp that follows the news in a datagram.
 const ECHO_BYTES: usize = 8;
 
@@ -156,14 +170,14 @@
 }
 
 impl Peer {
-    /// Returns whether the peer was seen recently and is not leaving.
-    fn is_present(&self, now: Duration) -> bool {
+    /// Returns whether the peer was seen within `timeout` and is not leaving.
+    fn is_present(&self, timeout: Duration, now: Duration) -> bool {
         let leaving = self.state.as_ref().is_some_and(|state| state.leaving);
-        !leaving && self.last_seen.is_some_and(|at| now.saturating_sub(at) <= LIVE_TIMEOUT)
+        !leaving && self.last_seen.is_some_and(|at| now.saturating_sub(at) <= timeout)
     }
 
-    fn is_live(&self, now: Duration) -> bool {
-        self.ready && self.is_present(now)
+    fn is_live(&self, timeout: Duration, now: Duration) -> bool {
+        self.ready && self.is_present(timeout, now)
     }
 
     /// Returns the time since the last news of the peer, or since it became known.
@@ -278,20 +292,23 @@
 
     /// Returns the peers that callers may be sent to.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &PeerAddress> {
-        self.peers.values().filter(move |peer| peer.is_live(now)).map(|peer| &peer.address)
+        let timeout = self.live_timeout();
+        let live = self.peers.values().filter(move |peer| peer.is_live(timeout, now));
+        live.map(|peer| &peer.address)
     }
 
     /// Returns the peers that are alive and not leaving, whether or not they are ready.
     pub fn present(&self, now: Duration) -> impl Iterator<Item = &PeerAddress> {
-        self.peers.values().filter(move |peer| peer.is_present(now)).map(|peer| &peer.address)
+        let timeout = self.live_timeout();
+        let present = self.peers.values().filter(move |peer| peer.is_present(timeout, now));
+        present.map(|peer| &peer.address)
     }
 
     /// Returns the peers in a data centre that are present.
     pub fn in_centre(&self, centre: &str, now: Duration) -> Vec<LocalPeer<SocketAddr>> {
-        let present = self
-            .peers
-            .values()
-            .filter(|peer| peer.address.centre == centre && peer.is_present(now));
+        let timeout = self.live_timeout();
+        let local = self.peers.values().filter(|peer| peer.address.centre == centre);
+        let present = local.filter(|peer| peer.is_present(timeout, now));
         let peers = present.map(|peer| {
             let silence = now.saturating_sub(peer.last_seen.unwrap_or_default());
             LocalPeer {
@@ -349,6 +366,12 @@
         2 * heard >= self.members(window, now).count()
     }
 
+    /// Returns the time without news after which a peer counts as gone for callers. Peers that have been silent
+    /// for a while count, so that the loss of many does not shorten it at once.
+    fn live_timeout(&self) -> Duration {
+        LIVE_TIMEOUT.max(news_interval(1 + self.peers.len()).mul_f64(LIVE_ROUNDS))
+    }
+
     /// Returns the number of gateways believed to be alive, this one included.
     pub fn live_count(&self, now: Duration) -> usize {
         1 + self.live(now).count()
--- a/crates/bw-direct/tests/peers.rs
+++ b/crates/bw-direct/tests/peers.rs
@@ -122,3 +122,19 @@
     peers.record_listed();
     assert_eq!(peers.part_count(WINDOW, seconds(60)), Some(1));
 }
+
+/// 380 gateways send news every second, and one datagram in a hundred is lost.
+#[test]
+fn a_peer_whose_news_are_late_by_a_round_stays_in_use_in_a_large_deployment() {
+    let mut peers = Peers::new("a".to_string());
+    let instances: Vec<String> = (0..379).map(|number| format!("b-{number}")).collect();
+    for instance in &instances {
+        hear(&mut peers, instance, false, seconds(1));
+    }
+    assert_eq!(peers.live_count(seconds(3) + Duration::from_millis(200)), 380);
+    assert_eq!(peers.live_count(seconds(4)), 1);
+    let mut small = Peers::new("a".to_string());
+    hear(&mut small, "b", false, seconds(1));
+    assert_eq!(small.live_count(seconds(2)), 2);
+    assert_eq!(small.live_count(seconds(3)), 1);
+}
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -18,6 +18,7 @@
 use bw_direct::notices::LeavingNews;
 use bw_direct::peers::add_echo;
 use bw_direct::peers::draw_addresses;
+use bw_direct::peers::news_interval;
 use bw_direct::peers::split_echo;
 use bw_direct::peers::News;
 use bw_direct::peers::NewsOutcome;
@@ -46,12 +47,6 @@
 use crate::suspects::Suspects;
 use crate::waiting::WaitQueues;
 
-/// Shortest and longest time between two rounds of news.
-const ROUND_INTERVAL: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_millis(1_000));
-/// Time that each live gateway adds to the interval between rounds, so that the rate at which one
-/// gateway sends stays bounded.
-const INTERVAL_PER_GATEWAY: Duration = Duration::from_millis(5);
 /// Time between the news that the holder of the planning duty sends to the first candidates for it.
 const BEAT_INTERVAL: Duration = Duration::from_millis(150);
 /// Number of rounds from one whose news list the addresses of all other gateways to the next such
@@ -325,11 +320,6 @@
     }
 }
 
-/// Returns the time between two rounds of news of each of `gateways` gateways.
-fn news_interval(gateways: usize) -> Duration {
-    (INTERVAL_PER_GATEWAY * gateways as u32).clamp(ROUND_INTERVAL.0, ROUND_INTERVAL.1)
-}
-
 /// Service that sends news to the peers and applies the news received from them.
 pub struct Gossip {
     /// State of this gateway and of its peers.
