Answer the first news of a gateway to that gateway only

Cause: a gateway that heard another one for the first time sent its news to all at once. When all return after a loss of power, that is the cube of their number in datagrams: some 900,000 of 400 bytes at 99 gateways, against links of 40 Mbit/s. The list of all addresses in the first round was also larger than the 16 KiB that are received whole, from some 230 gateways on.

Ruled out, by arithmetic: reads of the store (1.2 MB each at 3,000 endpoints, 3 s in all).

Change: first news are answered by a greeting to their sender; a datagram names at most 64 other gateways, drawn at random.

--- a/crates/bw-direct/src/peers.rs
+++ b/crates/bw-direct/src/peers.rs
@@ -284,10 +284,14 @@
         self.peers.get(instance).map(|peer| peer.address.news)
     }
 
-    /// Returns the addresses of all peers that may be alive, to be sent to other peers.
-    pub fn addresses(&self, now: Duration) -> Vec<PeerAddress> {
+    /// Draws the addresses of at most `most` peers that may be alive, to be sent to other peers.
+    pub fn draw_peers<R>(&self, most: usize, random: &mut R, now: Duration) -> Vec<PeerAddress>
+    where
+        R: Rng,
+    {
         let receivers = self.peers.values().filter(|peer| peer.receives_news(now));
-        receivers.map(|peer| peer.address.clone()).collect()
+        let receivers: Vec<&PeerAddress> = receivers.map(|peer| &peer.address).collect();
+        receivers.choose_multiple(random, most).map(|address| (*address).clone()).collect()
     }
 
     /// Returns the peers that callers may be sent to.
--- a/crates/bw-gateway/src/peers.rs
+++ b/crates/bw-gateway/src/peers.rs
@@ -49,9 +49,10 @@
 
 /// Time between the news that the holder of the planning duty sends to the first candidates for it.
 const BEAT_INTERVAL: Duration = Duration::from_millis(150);
-/// Number of rounds from one whose news list the addresses of all other gateways to the next such
-/// round.
+/// Number of rounds from one whose news list addresses of other gateways to the next such round.
 const ADDRESS_PERIOD: u64 = 40;
+/// Addresses of other gateways in one datagram, which fits into [`DATAGRAM_MAX`] with them.
+const OTHERS_MAX: usize = 64;
 /// Echo for a peer that has sent no stamp yet. No incarnation uses zero as a stamp, since no stamp
 /// base is zero.
 const NO_STAMP: u64 = 0;
@@ -82,8 +83,8 @@
     duty: Standby,
     /// Capacity of each gateway that has told it, this one included.
     capacities: HashMap<String, Capacity>,
-    /// Whether a peer may not know this gateway's capacity.
-    capacity_due: bool,
+    /// News addresses of peers that were heard for the first time, and do not know this gateway yet.
+    greetings: Vec<SocketAddr>,
     /// Last stamp of each peer by the peer's news address, to be echoed to the peer.
     stamps: HashMap<SocketAddr, u64>,
     /// Time at which the store last answered this gateway directly.
@@ -130,7 +131,7 @@
             ready: false,
             duty: Standby::new(now),
             capacities: HashMap::from([(address.instance.clone(), capacity)]),
-            capacity_due: true,
+            greetings: Vec::new(),
             stamps: HashMap::new(),
             store_answer: None,
             listing: (Position::default(), Position::default()),
@@ -369,7 +370,10 @@
                 }
                 () = self.peers.urgent.notified() => self.send_news(&socket, rounds).await,
                 received = socket.recv_from(&mut buffer) => match received {
-                    Ok((length, _)) => self.receive(&buffer[..length]),
+                    Ok((length, _)) => {
+                        self.receive(&buffer[..length]);
+                        self.send_greetings(&socket);
+                    }
                     Err(error) => warn!("event=news_unreceived reason=\"{error}\""),
                 },
                 () = stop.wait() => {
@@ -380,8 +384,8 @@
         }
     }
 
-    /// Sends news to all peers; every [`ADDRESS_PERIOD`] rounds with the addresses of all peers,
-    /// and also to the seeds.
+    /// Sends news to all peers; every [`ADDRESS_PERIOD`] rounds with addresses of peers, and also to the
+    /// seeds.
     async fn send_news(&self, socket: &UdpSocket, round: u64) {
         let now = self.clock.now();
         self.update_position(now);
@@ -406,7 +410,9 @@
         let leaving = self.endpoints.leaving_news(now);
         let leaving = leaving.chunks(RARE_NEWS_MAX);
         rare_news.extend(leaving.filter_map(|part| encode_rare(LEAVING_NEWS_MARK, &part.to_vec())));
-        rare_news.extend(self.encode_capacity(with_addresses));
+        if with_addresses {
+            rare_news.extend(self.encode_capacity());
+        }
         self.send_to(socket, &bytes, &targets);
         for target in targets {
             for news in &rare_news {
@@ -415,6 +421,23 @@
         }
     }
 
+    /// Sends news to the peers that were just heard for the first time, so that they do not learn of this
+    /// gateway only in the next round.
+    fn send_greetings(&self, socket: &UdpSocket) {
+        let targets = std::mem::take(&mut self.peers.lock().greetings);
+        if targets.is_empty() {
+            return;
+        }
+        if let Some(bytes) = self.encode_news(false, self.clock.now()) {
+            self.send_to(socket, &bytes, &targets);
+        }
+        if let Some(capacity) = self.encode_capacity() {
+            for target in targets {
+                let _ = socket.try_send_to(&capacity, target);
+            }
+        }
+    }
+
     /// Sends news to the first candidates for the planning duty, which this gateway holds.
     fn send_beat(&self, socket: &UdpSocket) {
         let now = self.clock.now();
@@ -440,7 +463,7 @@
         }
     }
 
-    /// Returns this gateway's news, encoded, with the addresses of the other gateways if wanted.
+    /// Returns this gateway's news, encoded, with addresses of other gateways if wanted.
     fn encode_news(&self, with_addresses: bool, now: Duration) -> Option<Vec<u8>> {
         let works = self.endpoints.work_news(now);
         let paces = self.endpoints.pace_news();
@@ -449,7 +472,11 @@
         let mut state = self.peers.lock();
         state.own.seq += 1;
         state.own.version = self.config.version();
-        let others = if with_addresses { state.peers.addresses(now) } else { Vec::new() };
+        let others = if with_addresses {
+            state.peers.draw_peers(OTHERS_MAX, &mut rand::rng(), now)
+        } else {
+            Vec::new()
+        };
         let news = News {
             state: state.own.clone(),
             address: self.peers.address.clone(),
@@ -474,14 +501,10 @@
         }
     }
 
-    /// Returns the datagram with this gateway's capacity if a peer may not know it, or if `wanted`.
-    fn encode_capacity(&self, wanted: bool) -> Option<Vec<u8>> {
-        let mut state = self.peers.lock();
-        if !std::mem::take(&mut state.capacity_due) && !wanted {
-            return None;
-        }
+    /// Returns the datagram with this gateway's capacity.
+    fn encode_capacity(&self) -> Option<Vec<u8>> {
         let instance = self.peers.address.instance.clone();
-        let capacity = state.capacities.get(&instance).copied().unwrap_or_default();
+        let capacity = self.peers.lock().capacities.get(&instance).copied().unwrap_or_default();
         encode_rare(CAPACITY_NEWS_MARK, &CapacityNews { instance, capacity })
     }
 
@@ -571,10 +594,7 @@
             NewsOutcome::First => {
                 info!("event=peer_heard peer={} life={}", instance, news.state.incarnation);
                 self.suspects.announce();
-                self.peers.lock().capacity_due = true;
-                // Sends news at once, so that the new peer does not learn of this gateway only in
-                // the next round.
-                self.peers.urgent.notify_one();
+                self.peers.lock().greetings.push(news.address.news);
             }
             NewsOutcome::Known => {}
         }
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -307,3 +307,35 @@
     assert_eq!(present(&peers), [address(1)]);
     assert_eq!(peers.present(now + LIVE_TIMEOUT * 2).count(), 0);
 }
+
+/// Returns the datagrams that a gateway sends to 60 peers in the 250 ms after it has heard each of them for the
+/// first time. The interval of its rounds grows to 305 ms meanwhile.
+async fn datagrams_after_first_news() -> usize {
+    let rig = Rig::start(&[ok_answer()]).await;
+    let mut sockets = Vec::new();
+    for _ in 0..60 {
+        sockets.push(UdpSocket::bind("127.0.0.1:0").await.unwrap());
+    }
+    for (number, socket) in sockets.iter().enumerate() {
+        let address = socket.local_addr().unwrap();
+        rig.send_news(socket, &news(&format!("peer-{number}"), "b", address, 1, 1)).await;
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let mut buffer = [0; 16_384];
+    let received = |socket: &UdpSocket, buffer: &mut [u8]| {
+        std::iter::from_fn(|| socket.try_recv(buffer).ok()).count()
+    };
+    let count = sockets.iter().map(|socket| received(socket, &mut buffer)).sum();
+    rig.stop().await;
+    count
+}
+
+/// All gateways return at once after a loss of power. If each answered each one's first news by news to all,
+/// that would be the cube of their number.
+#[tokio::test]
+async fn the_first_news_of_a_peer_are_answered_to_that_peer_only() {
+    let count = datagrams_after_first_news().await;
+    // A greeting of two datagrams to each, and a few rounds.
+    assert!((60..60 * 8).contains(&count), "{count} datagrams");
+}
