Take a planner for cut off only while calls to ranks are under way

Found on reading the diff: a group at rest is asked for reports every 1.5 s, and the limit without an answer is 1.2 s, so that a tick between the question and the first answer made the planner resign. The time counts from the last answer, or from the last moment without a call under way. Test: hearing.rs.

--- a/crates/bw-expert/src/drive/mod.rs
+++ b/crates/bw-expert/src/drive/mod.rs
@@ -21,6 +21,7 @@
 
 pub mod command;
 pub mod driver;
+pub mod hearing;
 pub mod patience;
 pub mod tenure;
 pub mod window;
@@ -31,6 +32,7 @@
 pub use command::RankState;
 pub use driver::Driver;
 pub use driver::Phase;
+pub use hearing::Hearing;
 pub use patience::Patience;
 pub use tenure::Owner;
 pub use tenure::Tenure;
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -12,6 +12,7 @@
 use bw_expert::drive::patience::MAP_WAIT;
 use bw_expert::drive::Command;
 use bw_expert::drive::Driver;
+use bw_expert::drive::Hearing;
 use bw_expert::drive::Patience;
 use bw_expert::drive::Phase;
 use bw_expert::drive::RankCommand;
@@ -36,8 +37,6 @@
 const REPORT_INTERVAL_JUMP: Duration = Duration::from_millis(250);
 /// Minimum pace at which a rank counts as slow.
 pub const SLOW_PACE: f64 = 1.15;
-/// Time without an answer of any rank of an open group after which the gateway takes itself for cut off.
-const UNHEARD_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Shortest and longest length that a step is assumed to have.
 const STEP_LENGTH_RANGE: (Duration, Duration) =
     (Duration::from_millis(10), Duration::from_millis(1_000));
@@ -93,8 +92,8 @@
     pub map_patience: Patience,
     /// Encoded order of the last prepare command, which is the same for all ranks.
     prepare_order: Option<(RankCommand, Bytes)>,
-    /// Time of the last answer of any rank.
-    pub heard_at: Duration,
+    /// Answers of the ranks, which show that this gateway is not cut off.
+    pub hearing: Hearing,
     pub sampler: Sampler,
     /// Pace of each rank: the factor by which the rank is slower than it should be.
     pub paces: Vec<f64>,
@@ -165,7 +164,7 @@
             patience: Patience::default(),
             map_patience: Patience::new(MAP_WAIT),
             prepare_order: None,
-            heard_at: now,
+            hearing: Hearing::new(now),
             map: None,
             next_map: None,
             held_experts: HashMap::new(),
@@ -262,10 +261,10 @@
         Ok(body)
     }
 
-    /// Returns whether no rank of an open group has answered for long, although calls are under way.
-    pub fn is_unheard(&self, now: Duration) -> bool {
-        let asking = self.pending_reads > 0 || self.pending_counts > 0 || self.driver.pending() > 0;
-        asking && self.view.is_open() && now.saturating_sub(self.heard_at) > UNHEARD_TIMEOUT
+    /// Returns whether calls to ranks of an open group are under way.
+    pub fn is_asking(&self) -> bool {
+        let calls = self.pending_reads + self.pending_counts + self.driver.pending();
+        calls > 0 && self.view.is_open()
     }
 
     /// Requests the experts that the ranks hold, which show the map in use, unless earlier reads are
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -208,7 +208,7 @@
             Event::Answered(name, command, outcome, took) => {
                 let Some(group) = groups.get_mut(&name) else { return };
                 if outcome != CommandOutcome::Unknown {
-                    group.heard_at = now;
+                    group.hearing.record(now);
                     match carries_map(&command) {
                         true => group.map_patience.record(took),
                         false => group.patience.record(took),
@@ -231,7 +231,7 @@
                 let Some(group) = groups.get_mut(&name) else { return };
                 group.pending_reads = group.pending_reads.saturating_sub(1);
                 if let Some(report) = report {
-                    group.heard_at = now;
+                    group.hearing.record(now);
                     let state = report.state;
                     group.record_step(state.step, now.saturating_sub(group.report_lag));
                     if asked_at >= group.fresh_after {
@@ -248,7 +248,7 @@
                 let Some(group) = groups.get_mut(&name) else { return };
                 group.pending_counts = group.pending_counts.saturating_sub(1);
                 if let Some(counts) = counts {
-                    group.heard_at = now;
+                    group.hearing.record(now);
                     group.record_step(counts.step, now);
                     match group.sampling {
                         Sampling::Rebase => {
@@ -272,7 +272,7 @@
                 let Some(group) = groups.get_mut(&name) else { return };
                 group.pending_reads = group.pending_reads.saturating_sub(1);
                 if let Some(held) = held {
-                    group.heard_at = now;
+                    group.hearing.record(now);
                     group.held_experts.insert(rank, held);
                     group.assemble_map();
                 }
@@ -302,7 +302,10 @@
             self.peers.resign_duty(now);
             return calls;
         }
-        if group.is_unheard(now) {
+        if !group.is_asking() {
+            group.hearing.record(now);
+        }
+        if group.hearing.is_cut_off(now) {
             warn!("event=ranks_unheard group={} phase={:?}", group.view.name, group.phase);
             self.peers.resign_duty(now);
             return calls;
