--- a/crates/bw-direct/src/load.rs
+++ b/crates/bw-direct/src/load.rs
@@ -78,19 +78,24 @@
     }
 
     /// Returns the work of all gateways at each of `keys`, in their order.
+    ///
+    /// The cost grows with the number of reports and of keys, and not with their product: with hundreds of
+    /// gateways and thousands of endpoints every placement asks for this.
     pub fn total(&self, keys: &[EndpointKey], now: Duration) -> SmallVec<[Work; 16]> {
-        let mut totals: SmallVec<[Work; 16]> = keys.iter().map(|key| self.own_at(*key)).collect();
-        for peer in self.peers.values() {
-            if now.saturating_sub(peer.received_at) > PEER_AGE_MAX {
-                continue;
-            }
-            for (key, work) in &peer.works {
-                if let Some(position) = keys.iter().position(|other| other == key) {
-                    totals[position].add(*work);
-                }
+        let size = keys.iter().map(|key| key.index() + 1).max().unwrap_or_default();
+        let mut reported = vec![Work::default(); size];
+        let recent = |peer: &&PeerLoad| now.saturating_sub(peer.received_at) <= PEER_AGE_MAX;
+        for (key, work) in self.peers.values().filter(recent).flat_map(|peer| &peer.works) {
+            if let Some(total) = reported.get_mut(key.index()) {
+                total.add(*work);
             }
         }
-        totals
+        let total = |key: &EndpointKey| {
+            let mut work = self.own_at(*key);
+            work.add(reported[key.index()]);
+            work
+        };
+        keys.iter().map(total).collect()
     }
 
     /// Returns the age of the oldest news that is still counted.
