Repeat the first maps of a driver as soon as other commands

A driver that takes over prepares maps while a step is held, and with orders left unanswered each lost first answer held the group for a second.

Ruled out: the order of candidates and the limits of silence, which are the same with six gateways.

Test: patience.rs, fails before.

--- a/crates/bw-expert/src/drive/patience.rs
+++ b/crates/bw-expert/src/drive/patience.rs
@@ -25,6 +25,8 @@
 pub struct Patience {
     /// Shortest and longest wait.
     range: (Duration, Duration),
+    /// Wait before any answer is known.
+    first: Duration,
     /// Smoothed time and its smoothed deviation, in seconds; `None` before the first answer.
     answers: Option<(f64, f64)>,
 }
@@ -32,14 +34,21 @@
 impl Default for Patience {
     /// Creates the patience for answers to commands without a map.
     fn default() -> Self {
-        Self::new(COMMAND_WAIT)
+        Self::new(COMMAND_WAIT, COMMAND_WAIT.1)
     }
 }
 
 impl Patience {
-    /// Creates a patience of which no answer is known, with the shortest and the longest wait.
-    pub fn new(range: (Duration, Duration)) -> Self {
-        Self { range, answers: None }
+    /// Creates a patience of which no answer is known, with the shortest and the longest wait, and the wait
+    /// until an answer is known. A new driver may have to prepare maps while a step is held, so that its first wait
+    /// must not be long.
+    pub fn new(range: (Duration, Duration), first: Duration) -> Self {
+        Self { range, first, answers: None }
+    }
+
+    /// Creates the patience for answers to commands that carry a map.
+    pub fn for_maps() -> Self {
+        Self::new(MAP_WAIT, MAP_WAIT.0)
     }
 
     /// Records the time that an answer took.
@@ -57,7 +66,7 @@
     /// Returns the time to wait for an answer.
     pub fn wait(&self) -> Duration {
         let (least, most) = self.range;
-        let Some((time, deviation)) = self.answers else { return most };
+        let Some((time, deviation)) = self.answers else { return self.first };
         Duration::from_secs_f64(time + DEVIATIONS * deviation).clamp(least, most)
     }
 }
--- a/crates/bw-expert/tests/patience.rs
+++ b/crates/bw-expert/tests/patience.rs
@@ -61,3 +61,14 @@
     }
     assert!(uneven.wait() >= Duration::from_millis(50));
 }
+
+/// A driver that takes over prepares maps while a step is held, before it has had any answer.
+#[test]
+fn the_first_maps_of_a_driver_are_repeated_as_soon_as_other_commands() {
+    let first = Patience::for_maps().wait();
+    assert!(first <= Patience::default().wait(), "{first:?}");
+    // On a narrow link the wait grows with the answers.
+    let mut slow = Patience::for_maps();
+    (0..50).for_each(|_| slow.record(Duration::from_millis(400)));
+    assert!(slow.wait() >= Duration::from_millis(400), "{:?}", slow.wait());
+}
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -9,7 +9,6 @@
 use bw_direct::catalog::Engine;
 use bw_direct::catalog::ExpertShape;
 use bw_expert::drive::maps_allowed;
-use bw_expert::drive::patience::MAP_WAIT;
 use bw_expert::drive::Command;
 use bw_expert::drive::Driver;
 use bw_expert::drive::Hearing;
@@ -162,7 +161,7 @@
             view,
             driver,
             patience: Patience::default(),
-            map_patience: Patience::new(MAP_WAIT),
+            map_patience: Patience::for_maps(),
             prepare_order: None,
             hearing: Hearing::new(now),
             map: None,
