--- a/crates/bw-gateway/src/planner/calls.rs
+++ b/crates/bw-gateway/src/planner/calls.rs
@@ -7,14 +7,13 @@
 use bw_adapter::ObjectError;
 use bw_expert::drive::CommandOutcome;
 use bw_expert::drive::RankCommand;
+use bw_expert::policy::maps::MapPlan;
 use bw_http::Client;
 use bytes::Bytes;
 use hyper::Method;
 use log::warn;
 use tokio::time::Instant;
 
-use super::decide::MapPlan;
-
 /// Time limit for a rank's answer to a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -4,9 +4,9 @@
 
 use bw_adapter::engines;
 use bw_expert::drive::Phase;
+use bw_expert::policy::maps::MapPlan;
+use bw_expert::policy::maps::MapSearch;
 use bw_expert::policy::reading::ranks_to_read;
-use bw_expert::policy::replicas::improve;
-use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::RankLimits;
 use bw_expert::policy::urgency::gain_needed;
 use bw_expert::policy::urgency::is_low_load;
@@ -18,7 +18,6 @@
 use super::calls::Event;
 use super::group::Group;
 use super::group::Sampling;
-use super::group::SLOW_PACE;
 use super::PlanService;
 
 /// Interval between two reads of counts.
@@ -38,9 +37,6 @@
 /// Load that each copied expert has to take from the busiest rank of its set, as a fraction of the
 /// mean load.
 const COPY_PRICE: f64 = 0.015;
-/// Largest number of experts that a rank receives in one switch. Ranks copy one after another, and
-/// steps are longer until the last copy ends.
-const RECEIVED_MAX: usize = 2;
 /// Minimum time between the starts of two switches.
 const SWITCH_INTERVAL_MIN: Duration = Duration::from_millis(300);
 
@@ -127,7 +123,7 @@
         group.planning = true;
         group.replan = false;
         let (name, paces) = (group.view.name.clone(), group.paces.clone());
-        Some(Box::pin(compute_plan(name, map, demand, paces, limits)))
+        Some(Box::pin(compute_plan(name, MapSearch::new(map, demand, paces, limits))))
     }
 
     /// Starts a switch to the planned map, unless the gain is too small, the map in use is no
@@ -140,10 +136,9 @@
         if !is_current || group.driver.phase() != Phase::Idle || plan.gain() < needed {
             return;
         }
-        let received: usize =
-            plan.next.iter().zip(&plan.before).map(|(next, set)| next.received(set)).sum();
+        let received = plan.received();
         let expert_copy_secs = group.shape.bytes / group.shape.copy_rate.max(1.0);
-        let most = most_received(&plan.next, &plan.before);
+        let most = plan.received_most();
         group.copy_poll = now + Duration::from_secs_f64(expert_copy_secs * most as f64);
         let Some(version) = group.driver.start_switch() else { return };
         info!(
@@ -178,68 +173,10 @@
     }
 }
 
-/// A planned map, the map that the plan started from, and the skew of each, averaged over the
-/// sets.
-pub struct MapPlan {
-    pub before: Vec<Placement>,
-    pub next: Vec<Placement>,
-    pub skew_before: f64,
-    pub skew_after: f64,
-    /// Whether a rank receives as much as one switch allows, so that another one may gain more.
-    pub partial: bool,
-}
-
-impl MapPlan {
-    /// Returns the load that the new map takes from the busiest rank, as a fraction of the mean
-    /// load.
-    pub fn gain(&self) -> f64 {
-        self.skew_before - self.skew_after
-    }
-}
-
 /// Plans one set after another, and yields after each so that planning does not delay requests.
-async fn compute_plan(
-    group: String,
-    before: Vec<Placement>,
-    demand: Vec<Vec<f64>>,
-    paces: Vec<f64>,
-    limits: RankLimits,
-) -> Event {
-    let sets = before.len().max(1) as f64;
-    let skews: Vec<f64> =
-        before.iter().zip(&demand).map(|(set, demand)| set.skew(demand, &paces)).collect();
-    // The sets that lengthen steps the most have the first choice of what ranks may receive.
-    let mut order: Vec<usize> = (0..before.len()).collect();
-    order.sort_by(|a, b| skews[*b].total_cmp(&skews[*a]));
-    let mut next = before.clone();
-    // A slow rank stays the slowest until nearly all of its experts have moved, so parts of that
-    // change gain nothing.
-    let has_slow_rank = paces.iter().any(|pace| *pace >= SLOW_PACE);
-    let received_max = if has_slow_rank { usize::MAX } else { RECEIVED_MAX };
-    let mut room = vec![received_max; paces.len()];
-    for index in order {
-        next[index] = improve(&before[index], &demand[index], &paces, limits, &room);
-        for (rank, room) in room.iter_mut().enumerate() {
-            *room = room.saturating_sub(next[index].received_by(rank, &before[index]));
-        }
+async fn compute_plan(group: String, mut search: MapSearch) -> Event {
+    while search.step() {
         tokio::task::yield_now().await;
     }
-    let after = next.iter().zip(&demand).map(|(set, demand)| set.skew(demand, &paces));
-    let plan = MapPlan {
-        skew_before: skews.iter().sum::<f64>() / sets,
-        skew_after: after.sum::<f64>() / sets,
-        partial: room.contains(&0),
-        before,
-        next,
-    };
-    Event::Planned(group, plan)
-}
-
-/// Returns the largest number of experts, over all sets, that any rank has to receive.
-fn most_received(next: &[Placement], before: &[Placement]) -> usize {
-    let ranks = next.first().map_or(0, |set| set.ranks.len());
-    let received = |rank: usize| -> usize {
-        next.iter().zip(before).map(|(next, set)| next.received_by(rank, set)).sum()
-    };
-    (0..ranks).map(received).max().unwrap_or(0)
+    Event::Planned(group, search.finish())
 }
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -15,6 +15,7 @@
 use bw_expert::drive::Patience;
 use bw_expert::drive::Phase;
 use bw_expert::drive::RankCommand;
+use bw_expert::policy::maps::SLOW_PACE;
 use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::RankExperts;
 use bw_expert::policy::sample::SampleTime;
@@ -34,8 +35,6 @@
 /// The same interval while steps are longer than before: either demand has shifted, or a rank has
 /// become slow.
 const REPORT_INTERVAL_JUMP: Duration = Duration::from_millis(250);
-/// Minimum pace at which a rank counts as slow.
-pub const SLOW_PACE: f64 = 1.15;
 /// Shortest and longest length that a step is assumed to have.
 const STEP_LENGTH_RANGE: (Duration, Duration) =
     (Duration::from_millis(10), Duration::from_millis(1_000));
