Let a switch copy as much as the time of a copy allows, and fill free places

Cause: on the shifted work a copy takes 16 ms, but a switch gave each rank two experts at most and each copy had to take 0.015 of the mean load from the busiest rank, which fits copies of 100 ms. Maps stayed at a skew of 1.5 to 1.6 for the real demand, 160 of 216 places were in use, and steps came to the edge of 120 ms at the top of the wave; a shift of demand raised the skew to 2.4 to 2.9 and made all running streams late. Change: price and number of copies follow from the time of a copy, the slowdown of steps meanwhile and the timely pause; experts with one holder get a second one in free places, as long as the switch takes no longer.

--- a/crates/bw-direct/src/catalog.rs
+++ b/crates/bw-direct/src/catalog.rs
@@ -149,6 +149,14 @@
     pub forming_time: Duration,
 }
 
+impl ExpertShape {
+    /// Returns the time that a rank needs to copy one expert.
+    pub fn copy_time(&self) -> Duration {
+        let seconds = self.bytes / self.copy_rate.max(1.0);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+}
+
 /// What endpoints of a service take while they are cold.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ColdService {
--- a/crates/bw-expert/src/policy/maps.rs
+++ b/crates/bw-expert/src/policy/maps.rs
@@ -2,17 +2,46 @@
 //!
 //! Load pattern: demand shifts every few seconds while steps are close to the longest timely pause, so the new
 //! map has to be ready soon. Ranks copy experts one after another, and the switch waits for the rank that
-//! receives the most.
+//! receives the most. How much a switch may copy follows from the time that a copy takes: from a few milliseconds,
+//! where a map that is level costs next to nothing, to more than a step.
+
+use std::time::Duration;
 
 use super::replicas::improve;
 use super::replicas::Placement;
 use super::replicas::RankLimits;
+use super::reserve::Reserve;
 
-/// Largest number of experts that a rank receives in one switch. Steps are longer until the last copy ends.
-const RECEIVED_MAX: usize = 2;
+/// Fraction by which steps are longer while a rank copies experts.
+const COPY_SLOWDOWN: f64 = 0.15;
+/// Time for which a map is assumed to be in use; demand may shift at any time after that.
+const MAP_LIFETIME: Duration = Duration::from_secs(1);
+/// Smallest number of experts that a rank may receive in one switch.
+const RECEIVED_MIN: usize = 2;
 /// Minimum pace at which a rank counts as slow.
 pub const SLOW_PACE: f64 = 1.15;
 
+/// Limits of a rank for experts that each take `copy_time` to copy. A rank can hold `capacity` experts of a set and
+/// receive `max_received` of them in one switch; `max_pause` is the longest timely pause between events.
+///
+/// A copy has to shorten steps, over the life of a map, by more than it lengthens them. A rank receives what it can
+/// copy within a timely pause.
+pub fn rank_limits(
+    capacity: usize,
+    max_received: usize,
+    copy_time: Duration,
+    max_pause: Duration,
+) -> RankLimits {
+    let copy_secs = copy_time.as_secs_f64().max(f64::MIN_POSITIVE);
+    let within_pause = (max_pause.as_secs_f64() / copy_secs) as usize;
+    RankLimits {
+        capacity,
+        max_received,
+        max_total: within_pause.max(RECEIVED_MIN),
+        copy_price: COPY_SLOWDOWN * copy_secs / MAP_LIFETIME.as_secs_f64(),
+    }
+}
+
 /// A planned map, the map that the plan started from, and the skew of each, averaged over the
 /// sets.
 #[derive(Clone, Debug)]
@@ -43,12 +72,7 @@
 
     /// Returns the largest number of experts, over all sets, that any rank has to receive.
     pub fn received_most(&self) -> usize {
-        let ranks = self.next.first().map_or(0, |set| set.ranks.len());
-        let received = |rank: usize| -> usize {
-            let sets = self.next.iter().zip(&self.before);
-            sets.map(|(next, set)| next.received_by(rank, set)).sum()
-        };
-        (0..ranks).map(received).max().unwrap_or(0)
+        received_by_rank(&self.next, &self.before).into_iter().max().unwrap_or(0)
     }
 }
 
@@ -84,7 +108,7 @@
         // A slow rank stays the slowest until nearly all of its experts have moved, so parts of that
         // change gain nothing.
         let has_slow_rank = paces.iter().any(|pace| *pace >= SLOW_PACE);
-        let received_max = if has_slow_rank { usize::MAX } else { RECEIVED_MAX };
+        let received_max = if has_slow_rank { usize::MAX } else { limits.max_total };
         let room = vec![received_max; paces.len()];
         Self { next: before.clone(), before, demand, paces, limits, room, skews, open }
     }
@@ -100,6 +124,24 @@
         true
     }
 
+    /// Gives second holders to experts that one rank holds, one expert of each set in turn, as long as no rank
+    /// receives more than the one that receives the most: the switch then takes no longer.
+    pub fn add_reserves(&mut self) {
+        let received = received_by_rank(&self.next, &self.before);
+        let most = received.iter().copied().max().unwrap_or(0);
+        let mut room: Vec<usize> = received.iter().map(|received| most - received).collect();
+        let reserve =
+            |(set, demand): (&Placement, &Vec<f64>)| Reserve::new(set, demand, &self.paces);
+        let mut open: Vec<(usize, Reserve)> =
+            self.next.iter().zip(&self.demand).map(reserve).enumerate().collect();
+        while !open.is_empty() {
+            open.retain_mut(|(index, reserve)| {
+                let (next, before) = (&mut self.next[*index], &self.before[*index]);
+                reserve.add_holder(next, before, self.limits, &mut room)
+            });
+        }
+    }
+
     /// Returns the plan; sets that are not planned yet stay as they are.
     pub fn finish(self) -> MapPlan {
         let sets = self.before.len().max(1) as f64;
@@ -114,3 +156,12 @@
         }
     }
 }
+
+/// Returns the number of experts, over all sets, that each rank has to receive.
+fn received_by_rank(next: &[Placement], before: &[Placement]) -> Vec<usize> {
+    let ranks = next.first().map_or(0, |set| set.ranks.len());
+    let received = |rank: usize| -> usize {
+        next.iter().zip(before).map(|(next, set)| next.received_by(rank, set)).sum()
+    };
+    (0..ranks).map(received).collect()
+}
--- a/crates/bw-expert/src/policy/mod.rs
+++ b/crates/bw-expert/src/policy/mod.rs
@@ -5,7 +5,7 @@
 //! their price, `planner` combines the three, and `baseline` holds simpler plans against which the
 //! planner is measured. For groups that share each expert evenly among its holders, `sample`
 //! estimates demand from the counts of a few ranks, whose number `reading` sets, `replicas` searches for a placement,
-//! `maps` plans all sets of a group, and `urgency` sets the gain that a new map has to bring.
+//! `reserve` adds holders in free places, `maps` plans all sets of a group, and `urgency` sets the gain that a new map has to bring.
 
 pub mod baseline;
 pub mod demand;
@@ -14,6 +14,7 @@
 pub mod planner;
 pub mod reading;
 pub mod replicas;
+pub mod reserve;
 pub mod sample;
 pub mod shares;
 pub mod skew;
