--- a/crates/bw-soak/src/main.rs
+++ b/crates/bw-soak/src/main.rs
@@ -26,6 +26,10 @@
     /// number of runs, with seeds that follow each other
     #[argh(option, default = "1")]
     runs: u64,
+    /// folder with the bw-gateway of another release, which runs at first; gateways are then replaced one after the
+    /// other, forward, back and forward again
+    #[argh(option)]
+    old_bin: Option<PathBuf>,
     #[argh(subcommand)]
     part: Option<Part>,
 }
@@ -85,6 +89,10 @@
         let path = program.display();
         return Err(io::Error::other(format!("{path} is missing: cargo build -p bw-gateway")));
     }
+    let old_program = arguments.old_bin.as_ref().map(|folder| folder.join("bw-gateway"));
+    if let Some(path) = old_program.as_ref().filter(|path| !path.exists()) {
+        return Err(io::Error::other(format!("--old-bin: {} is missing", path.display())));
+    }
     let mut failed = Vec::new();
     for seed in (arguments.seed..).take(arguments.runs as usize) {
         let folder = folder(seed);
@@ -94,6 +102,7 @@
             length: Duration::from_secs(arguments.seconds),
             gateways: arguments.gateways.unwrap_or(2 + (seed % 4) as usize),
             program: program.clone(),
+            old_program: old_program.clone(),
             folder: folder.clone(),
         };
         let (failures, answered) = run::play(options).await?;
--- a/crates/bw-soak/src/run.rs
+++ b/crates/bw-soak/src/run.rs
@@ -25,7 +25,11 @@
 /// # Errors
 /// What kept the run from being played.
 pub async fn play(options: Options) -> io::Result<(u32, u32)> {
-    let faults = schedule::draw(options.seed, options.length, options.gateways, ENDPOINTS);
+    let mut faults = schedule::draw(options.seed, options.length, options.gateways, ENDPOINTS);
+    if options.old_program.is_some() {
+        faults.extend(schedule::upgrades(options.length, options.gateways));
+        faults.sort_by_key(|fault| fault.at);
+    }
     println!("seed={} gateways={} faults:", options.seed, options.gateways);
     for fault in &faults {
         let (at, length) = (fault.at.as_secs_f64(), fault.length.as_secs_f64());
--- a/crates/bw-soak/src/schedule.rs
+++ b/crates/bw-soak/src/schedule.rs
@@ -46,6 +46,17 @@
     EndpointReject(usize),
     /// The configuration changes.
     Configure,
+    /// Stops a gateway by SIGTERM and starts it with the program of a release.
+    Replace(usize, Release),
+}
+
+/// Release of a gateway's program in a run with upgrades.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Release {
+    /// The release that runs at first.
+    Old,
+    /// The release under test.
+    New,
 }
 
 /// One fault of the schedule.
@@ -74,6 +85,22 @@
     faults
 }
 
+/// Returns the replacements of a run with upgrades: the gateways are replaced one after the other, first forward,
+/// then back, then forward again.
+pub fn upgrades(length: Duration, gateways: usize) -> Vec<Fault> {
+    let rounds = [Release::New, Release::Old, Release::New];
+    let gap = length / (rounds.len() * gateways + 1) as u32;
+    let replacements = rounds
+        .into_iter()
+        .flat_map(|release| (0..gateways).map(move |gateway| Action::Replace(gateway, release)));
+    let fault = |(index, action): (u32, Action)| Fault {
+        at: gap * (index + 1),
+        length: Duration::ZERO,
+        action,
+    };
+    (0..).zip(replacements).map(fault).collect()
+}
+
 fn draw_action(rng: &mut ChaCha8Rng, gateways: usize, endpoints: usize) -> Action {
     let gateway = rng.random_range(0..gateways);
     let endpoint = rng.random_range(0..endpoints);
--- a/crates/bw-soak/src/settings.rs
+++ b/crates/bw-soak/src/settings.rs
@@ -27,6 +27,8 @@
     pub gateways: usize,
     /// The gateway's program.
     pub program: PathBuf,
+    /// Program of the release that gateways run at first, in a run with upgrades.
+    pub old_program: Option<PathBuf>,
     /// Folder for the logs, which exists.
     pub folder: PathBuf,
 }
--- a/crates/bw-soak/src/world.rs
+++ b/crates/bw-soak/src/world.rs
@@ -27,6 +27,7 @@
 use crate::recorder::Recorder;
 use crate::schedule::Action;
 use crate::schedule::Fault;
+use crate::schedule::Release;
 use crate::settings::address;
 use crate::settings::bounds;
 use crate::settings::log_of;
@@ -64,6 +65,8 @@
     store_link: Proxy,
     number: AtomicU32,
     process: RwLock<Arc<Process>>,
+    /// Program of the next life.
+    program: Mutex<PathBuf>,
     /// Held while the process is being replaced.
     replacing: tokio::sync::Mutex<()>,
 }
@@ -134,7 +137,8 @@
             let settings = options.folder.join(format!("gateway-{index}.ini"));
             std::fs::write(&settings, settings_text(&options, index, store_link.address))?;
             let log = log_of(&options.folder, index, 1);
-            let process = Process::start(&options.program, &settings, &log)?;
+            let program = options.old_program.as_ref().unwrap_or(&options.program);
+            let process = Process::start(program, &settings, &log)?;
             gateways.push(Gateway {
                 callers: address(index, 0),
                 index,
@@ -142,6 +146,7 @@
                 store_link,
                 number: AtomicU32::new(1),
                 process: RwLock::new(Arc::new(process)),
+                program: Mutex::new(program.clone()),
                 replacing: tokio::sync::Mutex::default(),
             });
         }
@@ -187,6 +192,15 @@
                 self.stop_gateway(index).await?;
                 self.start_gateway(&self.gateways[index]).await
             }
+            Action::Replace(index, release) => {
+                let gateway = &self.gateways[index];
+                let _replacing = gateway.replacing.lock().await;
+                self.stop_gateway(index).await?;
+                let old = self.options.old_program.as_ref().filter(|_| release == Release::Old);
+                let program = old.unwrap_or(&self.options.program).clone();
+                *gateway.program.lock().unwrap_or_else(PoisonError::into_inner) = program;
+                self.start_gateway(gateway).await
+            }
             Action::StoreDown => {
                 self.fail_store(Faults { down: true, ..Faults::default() }, fault).await
             }
@@ -323,7 +337,8 @@
     async fn start_gateway(&self, gateway: &Gateway) -> io::Result<()> {
         let number = gateway.number.fetch_add(1, Ordering::SeqCst) + 1;
         let log = log_of(&self.options.folder, gateway.index, number);
-        let process = Process::start(&self.options.program, &gateway.settings, &log)?;
+        let program = gateway.program.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let process = Process::start(&program, &gateway.settings, &log)?;
         *gateway.process.write().await = Arc::new(process);
         Ok(())
     }
