--- a/crates/bw-expert/src/policy/maps.rs
+++ b/crates/bw-expert/src/policy/maps.rs
@@ -16,6 +16,8 @@
 const COPY_SLOWDOWN: f64 = 0.15;
 /// Time for which a map is assumed to be in use; demand may shift at any time after that.
 const MAP_LIFETIME: Duration = Duration::from_secs(1);
+/// Lowest price of a copy: a smaller gain is within the noise of the counts, and the next ones would undo it.
+const COPY_PRICE_MIN: f64 = 0.004;
 /// Smallest number of experts that a rank may receive in one switch.
 const RECEIVED_MIN: usize = 2;
 /// Minimum pace at which a rank counts as slow.
@@ -34,11 +36,12 @@
 ) -> RankLimits {
     let copy_secs = copy_time.as_secs_f64().max(f64::MIN_POSITIVE);
     let within_pause = (max_pause.as_secs_f64() / copy_secs) as usize;
+    let price = COPY_SLOWDOWN * copy_secs / MAP_LIFETIME.as_secs_f64();
     RankLimits {
         capacity,
         max_received,
         max_total: within_pause.max(RECEIVED_MIN),
-        copy_price: COPY_SLOWDOWN * copy_secs / MAP_LIFETIME.as_secs_f64(),
+        copy_price: price.max(COPY_PRICE_MIN),
     }
 }
 
