Give copies their former price and number, and keep second holders in free places

Change: price .015 and two copies a rank again; the test of their limits goes with them. Second holders stay.

--- a/crates/bw-expert/src/policy/maps.rs
+++ b/crates/bw-expert/src/policy/maps.rs
@@ -2,49 +2,18 @@
 //!
 //! Load pattern: demand shifts every few seconds while steps are close to the longest timely pause, so the new
 //! map has to be ready soon. Ranks copy experts one after another, and the switch waits for the rank that
-//! receives the most. How much a switch may copy follows from the time that a copy takes: from a few milliseconds,
-//! where a map that is level costs next to nothing, to more than a step.
-
-use std::time::Duration;
+//! receives the most.
 
 use super::replicas::improve;
 use super::replicas::Placement;
 use super::replicas::RankLimits;
 use super::reserve::Reserve;
 
-/// Fraction by which steps are longer while a rank copies experts.
-const COPY_SLOWDOWN: f64 = 0.15;
-/// Time for which a map is assumed to be in use; demand may shift at any time after that.
-const MAP_LIFETIME: Duration = Duration::from_secs(1);
-/// Lowest price of a copy: a smaller gain is within the noise of the counts, and the next ones would undo it.
-const COPY_PRICE_MIN: f64 = 0.004;
-/// Smallest number of experts that a rank may receive in one switch.
-const RECEIVED_MIN: usize = 2;
+/// Largest number of experts that a rank receives in one switch. Steps are longer until the last copy ends.
+const RECEIVED_MAX: usize = 2;
 /// Minimum pace at which a rank counts as slow.
 pub const SLOW_PACE: f64 = 1.15;
 
-/// Limits of a rank for experts that each take `copy_time` to copy. A rank can hold `capacity` experts of a set and
-/// receive `max_received` of them in one switch; `max_pause` is the longest timely pause between events.
-///
-/// A copy has to shorten steps, over the life of a map, by more than it lengthens them. A rank receives what it can
-/// copy within a timely pause.
-pub fn rank_limits(
-    capacity: usize,
-    max_received: usize,
-    copy_time: Duration,
-    max_pause: Duration,
-) -> RankLimits {
-    let copy_secs = copy_time.as_secs_f64().max(f64::MIN_POSITIVE);
-    let within_pause = (max_pause.as_secs_f64() / copy_secs) as usize;
-    let price = COPY_SLOWDOWN * copy_secs / MAP_LIFETIME.as_secs_f64();
-    RankLimits {
-        capacity,
-        max_received,
-        max_total: within_pause.max(RECEIVED_MIN),
-        copy_price: price.max(COPY_PRICE_MIN),
-    }
-}
-
 /// A planned map, the map that the plan started from, and the skew of each, averaged over the
 /// sets.
 #[derive(Clone, Debug)]
@@ -111,7 +80,7 @@
         // A slow rank stays the slowest until nearly all of its experts have moved, so parts of that
         // change gain nothing.
         let has_slow_rank = paces.iter().any(|pace| *pace >= SLOW_PACE);
-        let received_max = if has_slow_rank { usize::MAX } else { limits.max_total };
+        let received_max = if has_slow_rank { usize::MAX } else { RECEIVED_MAX };
         let room = vec![received_max; paces.len()];
         Self { next: before.clone(), before, demand, paces, limits, room, skews, open }
     }
--- a/crates/bw-expert/src/policy/replicas.rs
+++ b/crates/bw-expert/src/policy/replicas.rs
@@ -35,8 +35,6 @@
     pub capacity: usize,
     /// Largest number of experts of a set that a rank can receive in one switch.
     pub max_received: usize,
-    /// Largest number of experts of all sets that a rank can receive in one switch.
-    pub max_total: usize,
     /// Load that each copied expert has to take from the busiest rank, relative to the mean load.
     pub copy_price: f64,
 }
--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -4,10 +4,10 @@
 
 use bw_adapter::engines;
 use bw_expert::drive::Phase;
-use bw_expert::policy::maps::rank_limits;
 use bw_expert::policy::maps::MapPlan;
 use bw_expert::policy::maps::MapSearch;
 use bw_expert::policy::reading::ranks_to_read;
+use bw_expert::policy::replicas::RankLimits;
 use bw_expert::policy::urgency::gain_needed;
 use bw_expert::policy::urgency::is_low_load;
 use bw_http::Client;
@@ -34,6 +34,9 @@
 /// Time after a read of counts or the start of a switch during which longer steps are not taken
 /// for a shift of demand.
 const JUMP_HOLDOFF: Duration = Duration::from_millis(350);
+/// Load that each copied expert has to take from the busiest rank of its set, as a fraction of the
+/// mean load.
+const COPY_PRICE: f64 = 0.015;
 /// Minimum time between the starts of two switches.
 const SWITCH_INTERVAL_MIN: Duration = Duration::from_millis(300);
 
@@ -112,8 +115,11 @@
             return None;
         }
         let (map, demand) = (group.map.clone()?, group.sampler.demand()?.to_vec());
-        let shape = &group.shape;
-        let limits = rank_limits(shape.placements, shape.spare, shape.copy_time(), group.max_pause);
+        let limits = RankLimits {
+            capacity: group.shape.placements,
+            max_received: group.shape.spare,
+            copy_price: COPY_PRICE,
+        };
         group.planning = true;
         group.replan = false;
         let (name, paces) = (group.view.name.clone(), group.paces.clone());
