Show a spoiled answer that ends the planning gateway's process

A model server's list of experts with one wrong digit makes the planner index out of bounds, and the end of its service ends the process.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# One gateway loses its path to the store for a second; just after it is back, three of twelve servers leave.
+# Model servers spoil one byte of one answer each; the gateways that plan the expert maps read them.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/harness hiccup review/2
+exec target/review/harness spoiled review/2
--- a/review/stand_ins/fleet.rs
+++ b/review/stand_ins/fleet.rs
@@ -1,5 +1,6 @@
 //! Gateways as processes of their own, and requesters that call them.
 
+use std::fs::File;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
@@ -39,9 +40,22 @@
     /// Path to the store.
     pub proxy: Proxy,
     child: Child,
+    settings: PathBuf,
+    log: File,
 }
 
 impl Gateway {
+    /// Returns whether the process has ended by itself.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Starts the process again, with the same settings.
+    pub fn restart(&mut self) -> std::io::Result<()> {
+        self.child = spawn(&self.settings, &self.log)?;
+        Ok(())
+    }
+
     /// Ends the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
@@ -64,6 +78,12 @@
     }
 }
 
+/// Starts a gateway process.
+fn spawn(settings: &Path, log: &File) -> std::io::Result<Child> {
+    let (output, errors) = (log.try_clone()?, log.try_clone()?);
+    Command::new(PROGRAM).arg(settings).stdin(Stdio::null()).stdout(output).stderr(errors).spawn()
+}
+
 /// Returns a free address at `ip`.
 fn free(ip: &str) -> std::io::Result<SocketAddr> {
     TcpListener::bind((ip, 0))?.local_addr()
@@ -115,14 +135,9 @@
         );
         let settings: PathBuf = folder.join(format!("{name}.ini"));
         std::fs::write(&settings, text)?;
-        let log = std::fs::File::create(folder.join(format!("{name}.log")))?;
-        let child = Command::new(PROGRAM)
-            .arg(&settings)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()?;
-        gateways.push(Gateway { name, zone: zone.to_string(), callers, ready, proxy, child });
+        let log = File::create(folder.join(format!("{name}.log")))?;
+        let child = spawn(&settings, &log)?;
+        gateways.push(Gateway { name, zone: zone.to_string(), callers, ready, proxy, child, settings, log });
     }
     Ok(gateways)
 }
@@ -142,6 +157,8 @@
     pub sent: Instant,
     /// Status of the answer; 0 if the connection ended without one, or the time limit passed.
     pub status: u16,
+    /// Whether the connection had carried another request before.
+    pub kept: bool,
     /// Whether the answer is a success of another request.
     pub foreign: bool,
 }
@@ -208,6 +225,7 @@
         let sent = Instant::now();
         let mut status = 0;
         let mut foreign = false;
+        let reused = kept.is_some();
         let connection = kept.take().or_else(|| {
             let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
             stream.set_read_timeout(Some(TIME_LIMIT)).ok()?;
@@ -233,6 +251,6 @@
             }
         }
         let method = method.to_string();
-        outcomes.lock().unwrap().push(Outcome { attempt, method, sent, status, foreign });
+        outcomes.lock().unwrap().push(Outcome { attempt, method, sent, status, kept: reused, foreign });
     }
 }
--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -3,13 +3,17 @@
 //! Call: `harness CASE FOLDER`, in the repository's root. Writes `record.txt` into the folder. Exits with 1 if
 //! the rule was broken, 0 if it held, and 2 if the case could not run.
 
+mod crash;
 mod fleet;
 mod http;
 mod json;
 mod leave;
+mod lost;
 mod proxy;
+mod rank;
 mod server;
 mod store;
+mod world;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -33,6 +37,9 @@
     let result = std::fs::create_dir_all(&scratch).map_err(|error| error.to_string()).and_then(|()| {
         match case.as_str() {
             "foreign" => leave::after_foreign_entry(trouble, &scratch),
+            "spoiled" => crash::after_spoiled_lists(trouble, &scratch),
+            "keep_alive" => lost::after_long_keep_alive(trouble, &scratch),
+            "outage" => leave::after_outage(trouble, &scratch),
             "hiccup" => leave::after_hiccup(trouble, &scratch),
             _ => Err(format!("no case {case}")),
         }
