Show a revoked key that works again after a drill and a restart of all gateways

A process that starts just after the store has returned from an older copy takes its first read for a proof.

--- a/review/stand_ins/main.rs
+++ b/review/stand_ins/main.rs
@@ -8,9 +8,9 @@
 mod http;
 mod json;
 mod leave;
-mod lost;
 mod proxy;
 mod rank;
+mod restore;
 mod server;
 mod store;
 mod world;
@@ -38,8 +38,8 @@
         match case.as_str() {
             "foreign" => leave::after_foreign_entry(trouble, &scratch),
             "spoiled" => crash::after_spoiled_lists(trouble, &scratch),
-            "keep_alive" => lost::after_long_keep_alive(trouble, &scratch),
             "outage" => leave::after_outage(trouble, &scratch),
+            "drill" => restore::after_drill(trouble, &scratch),
             "hiccup" => leave::after_hiccup(trouble, &scratch),
             _ => Err(format!("no case {case}")),
         }
--- a/review/stand_ins/store.rs
+++ b/review/stand_ins/store.rs
@@ -31,8 +31,16 @@
     text: String,
 }
 
+/// A copy of the store's objects.
+pub struct Copy {
+    revision: u64,
+    objects: BTreeMap<(String, String), Object>,
+}
+
 #[derive(Default)]
 struct State {
+    /// Number of times that the store has returned from an older copy.
+    era: u64,
     revision: u64,
     objects: BTreeMap<(String, String), Object>,
     events: Vec<Event>,
@@ -71,7 +79,8 @@
                         let (status, body) = store.answer(&request);
                         thread::sleep(ANSWER_TIME);
                         let first = format!("HTTP/1.1 {status} Status");
-                        let headers = [("Content-Type", "application/json")];
+                        let era = store.state.0.lock().unwrap().era.to_string();
+                        let headers = [("Content-Type", "application/json"), ("Store-Era", era.as_str())];
                         if connection.write(&first, &headers, body.as_bytes()).is_err() {
                             return;
                         }
@@ -101,6 +110,25 @@
         Instant::now() + ANSWER_TIME
     }
 
+    /// Returns a copy of all objects.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap();
+        Copy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Returns to a copy: what was written since is lost, and its revisions are given out again.
+    pub fn restore(&self, copy: Copy) {
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        state.era += 1;
+        state.revision = copy.revision;
+        state.objects = copy.objects;
+        let last = state.revision;
+        state.events.retain(|event| event.revision <= last);
+        drop(state);
+        changed.notify_all();
+    }
+
     fn answer(&self, request: &Message) -> (u16, String) {
         let (path, query) = request.target();
         let Some(rest) = path.strip_prefix("/v1/objects/") else { return (404, String::new()) };
@@ -130,6 +158,9 @@
                     let until = Instant::now() + Duration::from_millis(wait);
                     let mut state = lock.lock().unwrap();
                     loop {
+                        if after > state.revision {
+                            return (410, String::new());
+                        }
                         let events = state.events.iter().filter(|event| event.revision > after && event.kind == kind);
                         let events: Vec<String> = events.map(|event| event.text.clone()).collect();
                         let left = until.saturating_duration_since(Instant::now());
