--- a/review/stand_ins/crash.rs
+++ b/review/stand_ins/crash.rs
@@ -17,6 +17,8 @@
 const WATCHED: Duration = Duration::from_secs(75);
 /// Pause after which the platform starts a process again.
 const RESTART_PAUSE: Duration = Duration::from_secs(1);
+/// A process that ends sooner after its start has not started, for example since its address is in use.
+const LIFE_MIN: Duration = Duration::from_secs(1);
 /// Machines on which processes may not end by themselves, and how often.
 const MACHINES: usize = 2;
 const ENDS: usize = 3;
@@ -32,12 +34,16 @@
     let requesters = Requesters::start(&world.gateways, 12, Duration::from_millis(100));
     let mut ends = vec![0; zones.len()];
     let mut ended_at = vec![None; zones.len()];
+    let mut started_at = vec![Instant::now(); zones.len()];
     let until = begin + WATCHED;
     while Instant::now() < until {
         thread::sleep(Duration::from_millis(100));
         for number in 0..zones.len() {
             match ended_at[number] {
                 None if world.gateways[number].has_ended() => {
+                    if started_at[number].elapsed() < LIFE_MIN {
+                        return Err("a process could not start again".to_string());
+                    }
                     ends[number] += 1;
                     ended_at[number] = Some(Instant::now());
                     let name = world.gateways[number].name.clone();
@@ -45,7 +51,7 @@
                 }
                 Some(at) if at.elapsed() > RESTART_PAUSE => {
                     world.gateways[number].restart().map_err(|error| error.to_string())?;
-                    ended_at[number] = None;
+                    (ended_at[number], started_at[number]) = (None, Instant::now());
                 }
                 _ => {}
             }
