--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/bin/sh
-# Builds the stand-ins of the scripted cases. Needs the compiler only.
+# Builds the stand-ins of all cases into target/review, without any dependency.
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/harness review/stand_ins/main.rs
+rustc -O --edition 2021 -o target/review/review-case review/stand/main.rs
