--- a/review/stand_ins_part_one/main.rs
+++ b/review/stand_ins_part_one/main.rs
@@ -7,6 +7,7 @@
 mod json;
 mod leave;
 mod proxy;
+mod query;
 mod record;
 mod server;
 mod store;
@@ -27,6 +28,7 @@
     let held = match case.as_str() {
         "leave" => leave::run(&record, trouble),
         "crash" => crash::run(&record, trouble),
+        "query" => query::run(&record, trouble),
         _ => None,
     };
     let (code, text) = match held {
--- a/review/stand_ins_part_one/server.rs
+++ b/review/stand_ins_part_one/server.rs
@@ -25,6 +25,8 @@
 pub const SLOTS: u32 = 6;
 /// Body of the request that crashes each server that begins to run it.
 pub const POISON: &str = "crash";
+/// Query of another such request.
+pub const POISON_QUERY: &str = "order=crash";
 
 /// A request that has arrived at a server: when, at which server, and whether it crashed it.
 #[derive(Clone, Debug)]
@@ -154,7 +156,8 @@
             let text = format!("HTTP/1.1 421 X\r\n{head}Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
             return writer.write_all(text.as_bytes()).is_ok();
         }
-        let poison = request.body == POISON.as_bytes();
+        let poison =
+            request.body == POISON.as_bytes() || request.first[1].ends_with(POISON_QUERY);
         let at = self.record.note(&format!("server {id} runs {attempt} poison={poison}"));
         let arrival = Arrival { at, server: id.clone(), poison };
         self.arrivals.lock().unwrap().push(arrival);
