--- a/review/build.sh
+++ b/review/build.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review
 rustc --edition 2021 -O -o target/review/harness review/stand_ins/main.rs
-rustc --edition 2021 -O -o target/review/review-case review/stand_ins_part_one/main.rs
+rustc --edition 2021 -O -o target/review/review-case review/stand_ins_second/main.rs
