--- a/review/stand_ins_second/crash.rs
+++ b/review/stand_ins_second/crash.rs
@@ -16,10 +16,10 @@
     sleep(Duration::from_millis(millis));
 }
 
-/// Sends the request to a gateway, and brings back the server that it crashed.
+/// Sends the request to a gateway, and brings back the server that it crashed after some seconds.
 fn send_poison(world: &mut World, gateway: usize, attempt: &str) -> u16 {
     let status = world.send(gateway, "/confirm/2f", attempt, POISON);
-    pause(1_000);
+    pause(2_000);
     let _ = world.replace_crashed();
     pause(1_000);
     status
