Check the experts that ranks list before planning with them

Cause: the planner used the numbers in GET /v1/picked?lists=1 as indices. One wrong digit gives an expert that does not exist, and `Placement::holders` panicked ("the len is 64 but the index is 98"), which ends the process.

Change: lists become `HeldSets` by TryFrom; a map is complete if each expert has a holder. Ranks whose lists are rejected are asked again.

--- a/crates/bw-expert/src/drive/mod.rs
+++ b/crates/bw-expert/src/drive/mod.rs
@@ -23,6 +23,7 @@
 pub mod driver;
 pub mod hearing;
 pub mod patience;
+pub mod steps;
 pub mod tenure;
 pub mod window;
 
@@ -34,6 +35,7 @@
 pub use driver::Phase;
 pub use hearing::Hearing;
 pub use patience::Patience;
+pub use steps::StepEstimate;
 pub use tenure::Owner;
 pub use tenure::Tenure;
 pub use tenure::RANKS_MIN;
--- a/crates/bw-expert/src/policy/planner.rs
+++ b/crates/bw-expert/src/policy/planner.rs
@@ -84,7 +84,11 @@
             return None;
         }
         let demand = self.estimator.demand();
-        if demand.len() != map.layers.len() {
+        let experts = demand.first().map_or(0, Vec::len);
+        let same_shape =
+            demand.len() == map.layers.len() && demand.iter().all(|layer| layer.len() == experts);
+        // The map is what an engine says; the search uses its numbers as indices.
+        if !same_shape || map.check(experts).is_err() {
             return None;
         }
         let before = map_skew(map, &demand);
--- a/crates/bw-expert/src/policy/sample.rs
+++ b/crates/bw-expert/src/policy/sample.rs
@@ -65,7 +65,8 @@
         // been different.
         let Some(previous) = self.last_counts.insert(rank, counts.to_vec()) else { return };
         for (index, (count, previous)) in counts.iter().zip(previous).enumerate() {
-            self.pending[index] += count.saturating_sub(previous);
+            let chosen = count.saturating_sub(previous);
+            self.pending[index] = self.pending[index].saturating_add(chosen);
         }
     }
 
@@ -79,7 +80,7 @@
     /// Updates the estimate with the choices since the last update; returns false when there were
     /// too few.
     pub fn update_estimate(&mut self, time: SampleTime) -> bool {
-        let total: u64 = self.pending.iter().sum();
+        let total = sum(&self.pending);
         if total < CHOICES_MIN {
             return false;
         }
@@ -107,9 +108,14 @@
     }
 }
 
+/// Returns the sum of counts, which ranks may give as high as they like.
+fn sum(counts: &[u64]) -> u64 {
+    counts.iter().fold(0, |sum, count| sum.saturating_add(*count))
+}
+
 /// Returns the counts as fractions of their sum.
 fn to_fractions(counts: &[u64]) -> Vec<f64> {
-    let total: u64 = counts.iter().sum();
+    let total = sum(counts);
     counts.iter().map(|count| *count as f64 / total.max(1) as f64).collect()
 }
 
--- a/crates/bw-expert/tests/sample.rs
+++ b/crates/bw-expert/tests/sample.rs
@@ -58,3 +58,15 @@
     sampler.add_counts(0, 1, &[10, 20, 30, 40]);
     assert!(!sampler.update_estimate(SampleTime::Steady));
 }
+
+/// Guards against an overflow when a digit in a rank's counts is wrong.
+#[test]
+fn counts_of_any_size_are_added() {
+    let mut sampler = Sampler::new(1, 2);
+    sampler.add_counts(0, 1, &[0, 0]);
+    sampler.add_counts(1, 1, &[0, 0]);
+    sampler.add_counts(0, 1, &[u64::MAX, 1]);
+    sampler.add_counts(1, 1, &[u64::MAX, u64::MAX]);
+    assert!(sampler.update_estimate(SampleTime::Steady));
+    assert!(sampler.demand().unwrap().iter().flatten().all(|share| share.is_finite()));
+}
--- a/crates/bw-gateway/src/metrics.rs
+++ b/crates/bw-gateway/src/metrics.rs
@@ -29,6 +29,7 @@
     switches: IntCounterVec,
     cold: IntGaugeVec,
     news: IntCounterVec,
+    invalid: IntCounterVec,
 }
 
 impl GatewayMetrics {
@@ -118,6 +119,11 @@
                 "Bytes of news sent to gateways of the own data centre and of others.",
                 &["scope"],
             )?,
+            invalid: metrics.counter(
+                "bw_gateway_invalid_total",
+                "Items from the store, peers, endpoints and ranks that were discarded as invalid, by what they are.",
+                &["what"],
+            )?,
         })
     }
 
@@ -183,6 +189,11 @@
         self.news.with_label_values(&[scope]).inc_by(bytes as u64);
     }
 
+    /// Counts an item that was discarded because it is not valid.
+    pub fn record_invalid(&self, what: &str) {
+        self.invalid.with_label_values(&[what]).inc();
+    }
+
     /// Sets the gauges, which are only updated when the metrics are read.
     pub fn set_gauges(&self, waiting: usize, version: u64, proof: Option<Duration>, era: u64) {
         self.waiting.with_label_values::<&str>(&[]).set(waiting as i64);
--- a/crates/bw-gateway/src/planner/decide.rs
+++ b/crates/bw-gateway/src/planner/decide.rs
@@ -51,7 +51,7 @@
         calls: &mut Vec<Call>,
     ) {
         if group.map.is_none() {
-            group.request_held_experts(client, calls);
+            group.request_held_experts(client, now, calls);
             return;
         }
         if group.pending_counts == 0 && group.driver.phase() == Phase::Idle {
@@ -106,8 +106,8 @@
         // Ranks refuse to prepare a map before the armed one is in use. The counts of a rank may show
         // a step that has not started yet, and the expected step may be ahead by one.
         let observed = self.endpoints.step_length(&group.view.name, now);
-        let in_force = group.last_step.0 > group.switch_step
-            || group.expected_step(observed, now) > group.switch_step + 1;
+        let in_force = group.steps.last_step() > group.switch_step
+            || group.steps.expected(observed, now) > group.switch_step.saturating_add(1);
         if !in_force
             || now.saturating_sub(group.switched_at) < SWITCH_INTERVAL_MIN
             || group.planning
@@ -146,7 +146,7 @@
             group.view.name,
             plan.skew_before,
             plan.skew_after,
-            group.last_step.0,
+            group.steps.last_step(),
             step.unwrap_or_default().as_millis()
         );
         group.replan |= plan.partial;
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -15,13 +15,19 @@
 use bw_expert::drive::Patience;
 use bw_expert::drive::Phase;
 use bw_expert::drive::RankCommand;
+use bw_expert::drive::StepEstimate;
+use bw_expert::policy::held::complete_map;
+use bw_expert::policy::held::HeldError;
+use bw_expert::policy::held::HeldSets;
+use bw_expert::policy::held::MapShape;
+use bw_expert::policy::held::RankLists;
 use bw_expert::policy::maps::SLOW_PACE;
 use bw_expert::policy::replicas::Placement;
-use bw_expert::policy::replicas::RankExperts;
 use bw_expert::policy::sample::SampleTime;
 use bw_expert::policy::sample::Sampler;
 use bw_http::Client;
 use bw_model::Fence;
+use bw_model::MapVersion;
 use bytes::Bytes;
 use log::info;
 
@@ -35,13 +41,12 @@
 /// The same interval while steps are longer than before: either demand has shifted, or a rank has
 /// become slow.
 const REPORT_INTERVAL_JUMP: Duration = Duration::from_millis(250);
-/// Shortest and longest length that a step is assumed to have.
-const STEP_LENGTH_RANGE: (Duration, Duration) =
-    (Duration::from_millis(10), Duration::from_millis(1_000));
+/// Shortest time between two requests for the experts that ranks hold.
+const HELD_INTERVAL: Duration = Duration::from_millis(250);
 /// Bytes of an expert in an encoded map, the comma included.
 const ENTRY_BYTES: usize = 4;
-/// Maximum number of steps after the last known one that are assumed to have started.
-const STEPS_AHEAD_MAX: u64 = 10;
+/// Highest pace that a rank is taken to have.
+const PACE_MAX: f64 = 100.0;
 
 /// Purpose of the next counts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,6 +82,13 @@
     }
 }
 
+/// What a rank holds, with the incarnation and the map version that it belongs to.
+struct Held {
+    epoch: u64,
+    version: MapVersion,
+    sets: HeldSets,
+}
+
 /// A group with its driver, its estimate of demand and its pending calls.
 pub struct Group {
     pub view: GroupView,
@@ -111,7 +123,9 @@
     /// Map that the current switch leads to.
     pub next_map: Option<Vec<Placement>>,
     /// Experts of each rank that has answered while the map in use is being read.
-    pub held_experts: HashMap<u16, engines::HeldExperts>,
+    held_experts: HashMap<u16, Held>,
+    /// Time of the last request for the experts that ranks hold.
+    held_at: Option<Duration>,
     /// Number of pending requests for reports and for held experts.
     pub pending_reads: usize,
     /// Number of pending requests for counts.
@@ -124,10 +138,8 @@
     pub sampled_at: Duration,
     /// Start of the last switch.
     pub switched_at: Duration,
-    /// The last known step and the time at which it was known to have started.
-    pub last_step: (u64, Duration),
-    /// Length of a step: as configured at first, later as measured between known steps.
-    pub step_length: Duration,
+    /// Steps that the ranks have reported.
+    pub steps: StepEstimate,
     /// First step of the map of the last switch.
     pub switch_step: u64,
     /// Time of the next query of whether ranks have copied their experts; the first query is at the
@@ -166,14 +178,14 @@
             map: None,
             next_map: None,
             held_experts: HashMap::new(),
+            held_at: None,
             pending_reads: 0,
             pending_counts: 0,
             phase_since: now,
             phase,
             sampled_at: Duration::ZERO,
             switched_at: Duration::ZERO,
-            last_step: (0, now),
-            step_length: engine.step * engine.stride,
+            steps: StepEstimate::new(engine.step.saturating_mul(engine.stride)),
             switch_step: 0,
             copy_poll: Duration::ZERO,
             planning: false,
@@ -195,7 +207,7 @@
             self.view.name,
             self.phase,
             now.saturating_sub(self.phase_since).as_millis(),
-            self.last_step.0,
+            self.steps.last_step(),
             self.switch_step
         );
         self.phase_since = now;
@@ -209,8 +221,10 @@
             (_, Phase::Reading) => {
                 self.map = None;
                 self.next_map = None;
+                self.held_experts.clear();
+                self.held_at = None;
                 self.switch_step = 0;
-                self.last_step = (0, now);
+                self.steps.reset();
             }
             _ => {}
         }
@@ -265,14 +279,18 @@
         calls > 0 && self.view.is_open()
     }
 
-    /// Requests the experts that the ranks hold, which show the map in use, unless earlier reads are
-    /// pending.
-    pub fn request_held_experts(&mut self, client: &Client, calls: &mut Vec<Call>) {
-        if self.pending_reads > 0 {
+    /// Requests the experts that ranks hold from those whose lists are missing, unless earlier reads are
+    /// pending. The lists of all ranks show the map in use.
+    pub fn request_held_experts(&mut self, client: &Client, now: Duration, calls: &mut Vec<Call>) {
+        let recent = self.held_at.is_some_and(|at| now.saturating_sub(at) < HELD_INTERVAL);
+        if self.pending_reads > 0 || recent {
             return;
         }
-        self.held_experts.clear();
+        self.held_at = Some(now);
         for (rank, address) in self.view.addresses() {
+            if self.held_experts.contains_key(&rank) {
+                continue;
+            }
             self.pending_reads += 1;
             let name = self.view.name.clone();
             calls.push(Box::pin(read_held_experts(client.clone(), name, rank, address)));
@@ -307,57 +325,37 @@
     /// Records the pace that a rank reports.
     pub fn record_pace(&mut self, rank: u16, pace: f64) {
         let Some(known) = self.paces.get_mut(usize::from(rank)) else { return };
-        let pace = pace.max(1.0);
+        let pace = pace.clamp(1.0, PACE_MAX);
         self.replan |= (*known >= SLOW_PACE) != (pace >= SLOW_PACE);
         *known = pace;
     }
 
-    /// Records that a step had started at a time; data older than the last known step is ignored.
-    pub fn record_step(&mut self, step: u64, at: Duration) {
-        let (known, then) = self.last_step;
-        if known > 0 && step > known && at > then {
-            let length = (at - then) / (step - known) as u32;
-            self.step_length = length.clamp(STEP_LENGTH_RANGE.0, STEP_LENGTH_RANGE.1);
-        }
-        if known == 0 || (step > known && at > then) {
-            self.last_step = (step, at);
-        }
-    }
-
-    /// Returns the step that is expected to be in progress at `now`; `observed` is the length of
-    /// steps as the streams show it.
-    pub fn expected_step(&self, observed: Option<Duration>, now: Duration) -> u64 {
-        let (step, at) = self.last_step;
-        let length = observed.map_or(self.step_length, |observed| observed.min(self.step_length));
-        let passed = now.saturating_sub(at).as_secs_f64() / length.as_secs_f64().max(1e-3);
-        step + (passed as u64).min(STEPS_AHEAD_MAX)
-    }
-
     /// Returns the map that the engines of a group use before the first switch.
     pub fn initial_map(&self) -> Vec<Placement> {
         let ranks = self.view.ranks.len();
         (0..self.shape.sets).map(|_| Placement::round_robin(ranks, self.shape.experts)).collect()
     }
 
-    /// Sets the map in use from the experts that the ranks hold, once all ranks have answered for
-    /// the same incarnation and map version.
-    pub fn assemble_map(&mut self) {
-        let ranks = self.view.ranks.len();
-        if self.held_experts.len() < ranks {
-            return;
-        }
-        let first = self.held_experts.values().next().map(|held| (held.epoch, held.version));
-        let consistent =
-            self.held_experts.values().all(|held| Some((held.epoch, held.version)) == first);
-        if !consistent {
-            return;
-        }
-        let mut map = vec![Placement { ranks: vec![RankExperts::new(); ranks] }; self.shape.sets];
-        for (rank, held) in &self.held_experts {
-            for (set, experts) in map.iter_mut().zip(&held.sets) {
-                set.ranks[usize::from(*rank)] = experts.clone();
-            }
+    /// Records the experts that a rank says it holds, and sets the map in use once all ranks have answered
+    /// for the same incarnation and map version.
+    ///
+    /// # Errors
+    /// [`HeldError`] when the lists do not fit the group. They are requested again.
+    pub fn record_held(&mut self, rank: u16, held: engines::HeldExperts) -> Result<(), HeldError> {
+        let engines::HeldExperts { epoch, version, sets } = held;
+        let shape = MapShape { sets: self.shape.sets, experts: self.shape.experts };
+        let sets = HeldSets::try_from(RankLists { shape, sets })?;
+        self.held_experts.insert(rank, Held { epoch, version, sets });
+        let known: Option<Vec<&Held>> =
+            (0..self.view.ranks.len()).map(|rank| self.held_experts.get(&(rank as u16))).collect();
+        let Some(known) = known else { return Ok(()) };
+        let consistent = known.iter().all(|other| (other.epoch, other.version) == (epoch, version));
+        let ranks: Vec<&HeldSets> = known.iter().map(|held| &held.sets).collect();
+        let map = consistent.then(|| complete_map(&ranks, shape)).transpose();
+        if !matches!(map, Ok(Some(_))) {
+            self.held_experts.clear();
         }
-        self.map = Some(map);
+        self.map = map?.or(self.map.take());
+        Ok(())
     }
 }
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -222,7 +222,7 @@
                         command.command,
                         command.epoch,
                         group.driver.phase(),
-                        group.last_step.0
+                        group.steps.last_step()
                     );
                 }
                 group.driver.handle_outcome(&command, outcome);
@@ -233,7 +233,7 @@
                 if let Some(report) = report {
                     group.hearing.record(now);
                     let state = report.state;
-                    group.record_step(state.step, now.saturating_sub(group.report_lag));
+                    self.record_step(group, state.step, now.saturating_sub(group.report_lag));
                     if asked_at >= group.fresh_after {
                         group.driver.handle_report(rank, state);
                     }
@@ -249,7 +249,7 @@
                 group.pending_counts = group.pending_counts.saturating_sub(1);
                 if let Some(counts) = counts {
                     group.hearing.record(now);
-                    group.record_step(counts.step, now);
+                    self.record_step(group, counts.step, now);
                     match group.sampling {
                         Sampling::Rebase => {
                             group.sampler.rebase(rank, counts.epoch, &counts.counts);
@@ -273,13 +273,29 @@
                 group.pending_reads = group.pending_reads.saturating_sub(1);
                 if let Some(held) = held {
                     group.hearing.record(now);
-                    group.held_experts.insert(rank, held);
-                    group.assemble_map();
+                    if let Err(error) = group.record_held(rank, held) {
+                        self.metrics.record_invalid("held_experts");
+                        warn!(
+                            "event=held_experts_invalid group={name} rank={rank} reason=\"{error}\""
+                        );
+                    }
                 }
             }
         }
     }
 
+    /// Records a step that a rank has reported.
+    fn record_step(&self, group: &mut Group, step: u64, at: Duration) {
+        if !group.steps.record(step, at) {
+            self.metrics.record_invalid("step");
+            warn!(
+                "event=step_doubted group={} step={step} last={}",
+                group.view.name,
+                group.steps.last_step()
+            );
+        }
+    }
+
     /// Enters the driver's phase if it has changed, and counts the change.
     fn update_phase(&self, group: &mut Group, now: Duration) {
         if group.driver.phase() != group.phase {
@@ -319,7 +335,7 @@
             Phase::Preparing => {
                 if group.driver.is_prepared() {
                     let observed = self.endpoints.step_length(&group.view.name, now);
-                    let step = group.expected_step(observed, now + HOLD_LEAD) + 1;
+                    let step = group.steps.expected(observed, now + HOLD_LEAD).saturating_add(1);
                     group.switch_step = step;
                     group.driver.hold(step);
                 } else if now >= group.copy_poll {
@@ -331,7 +347,7 @@
         }
         self.update_phase(group, now);
         if group.map_to_prepare().is_none() {
-            group.request_held_experts(client, &mut calls);
+            group.request_held_experts(client, now, &mut calls);
             return calls;
         }
         for command in group.due_commands() {
--- /dev/null
+++ b/crates/bw-gateway/tests/planner.rs
@@ -0,0 +1,202 @@
+//! The planner of a whole gateway, with ranks that give wrong answers.
+
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+mod common;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bw_adapter::engines::RankReport;
+use bw_adapter::engines::COUNTS_PATH;
+use bw_adapter::engines::ORDER_PATH;
+use bw_adapter::engines::REPORT_PATH;
+use bw_adapter::stand_in::endpoint::listing_object;
+use bw_adapter::stand_in::rank::decode_order;
+use bw_adapter::stand_in::rank::encode_counts;
+use bw_adapter::stand_in::rank::encode_held_experts;
+use bw_adapter::stand_in::rank::encode_report;
+use bw_direct::catalog::Draft;
+use bw_direct::catalog::Engine;
+use bw_direct::catalog::ExpertShape;
+use bw_direct::catalog::Service;
+use bw_direct::endpoint::Endpoint;
+use bw_direct::endpoint::Member;
+use bw_direct::endpoint::Phase;
+use bw_expert::drive::Command;
+use bw_expert::drive::RankState;
+use bw_expert::policy::replicas::Placement;
+use bw_expert::policy::replicas::RankExperts;
+use bw_fake::endpoint::Behaviour;
+use bw_http::json_reply;
+use bw_http::text_reply;
+use bw_kernel::Stop;
+use bw_model::MapVersion;
+use tokio::sync::watch;
+use viz::Request;
+use viz::RequestExt;
+use viz::Response;
+use viz::Router;
+use viz::StatusCode;
+
+use self::common::draft;
+use self::common::Rig;
+
+const RANKS: u16 = 6;
+const EXPERTS: usize = 12;
+const MODEL: &str = "model";
+const MAP: MapVersion = MapVersion(5);
+/// Choices of the hottest expert between two reads of counts.
+const CHOICES: u64 = 4_000;
+
+/// What the ranks of one group share.
+#[derive(Default)]
+struct GroupState {
+    /// Reads of counts so far, by which the counts rise.
+    reads: u64,
+    /// Number of lists of held experts that are still to be spoiled.
+    spoiled: u32,
+    /// Maps that ranks were told to prepare.
+    prepared: Vec<Vec<Placement>>,
+}
+
+#[derive(Clone, Default)]
+struct FakeGroup(Arc<Mutex<GroupState>>);
+
+impl FakeGroup {
+    /// Serves one rank on a port of its own until the returned sender is dropped.
+    async fn start_rank(&self, rank: u16) -> (SocketAddr, watch::Sender<bool>) {
+        let listener = bw_http::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let group = self.clone();
+        let serve = move |mut request: Request| {
+            let group = group.clone();
+            async move {
+                let body = request.bytes().await.unwrap();
+                let path = request.uri().path_and_query().unwrap().to_string();
+                Ok(group.answer(rank, &path, &body))
+            }
+        };
+        let routes = Router::new()
+            .get(REPORT_PATH, serve.clone())
+            .get(COUNTS_PATH, serve.clone())
+            .post(ORDER_PATH, serve);
+        let (stop, signal) = Stop::pair();
+        tokio::spawn(bw_http::serve(listener, routes, signal));
+        (address, stop)
+    }
+
+    fn answer(&self, rank: u16, path: &str, body: &[u8]) -> Response {
+        let mut state = self.0.lock().unwrap();
+        match path {
+            REPORT_PATH => {
+                let state =
+                    RankState { epoch: 1, open: true, step: 9, map: MAP, ..RankState::default() };
+                let report = RankReport { pace: 1.0, state };
+                json_reply(StatusCode::OK, &encode_report("g", rank, RANKS, &report))
+            }
+            COUNTS_PATH => {
+                state.reads += 1;
+                let mut counts = vec![state.reads; EXPERTS];
+                counts[0] = state.reads * CHOICES;
+                json_reply(StatusCode::OK, &encode_counts(9, 1, &counts))
+            }
+            ORDER_PATH => {
+                if let Some((order, map)) = decode_order(rank, body) {
+                    if matches!(order.command, Command::Prepare(_)) {
+                        state.prepared.push(map);
+                    }
+                }
+                text_reply(StatusCode::OK, String::new())
+            }
+            // The lists of held experts have the path of the counts, with a query.
+            _ => {
+                let map = Placement::round_robin(usize::from(RANKS), EXPERTS);
+                let mut held: RankExperts = map.ranks[usize::from(rank)].clone();
+                if state.spoiled > 0 && rank == 1 {
+                    state.spoiled -= 1;
+                    held[0] = 91;
+                }
+                json_reply(StatusCode::OK, &encode_held_experts(1, MAP, &[held]))
+            }
+        }
+    }
+}
+
+/// Returns a configuration with a service whose ranks hold experts.
+fn draft_with_model() -> Draft {
+    let mut draft = draft(1);
+    let shape = ExpertShape {
+        sets: 1,
+        experts: EXPERTS,
+        placements: 4,
+        spare: 2,
+        bytes: 1.0,
+        copy_rate: 1e9,
+        expert_fraction: 0.9,
+        forming_time: Duration::from_millis(100),
+    };
+    let engine = Engine {
+        slots: 4,
+        stride: 1,
+        step: Duration::from_millis(20),
+        sequence: Duration::ZERO,
+        context: Duration::ZERO,
+        prefill_rate: 1e5,
+        chunk: 512,
+        kv_capacity: 100_000,
+        prompt: 100.0,
+        answer: 10.0,
+        report_lag: Duration::from_millis(1),
+        experts: Some(shape),
+    };
+    let model =
+        Service { name: MODEL.to_string(), engine: Some(engine), ..draft.services[0].clone() };
+    draft.services.push(model);
+    draft
+}
+
+/// Guards against a gateway that ends because one digit in a rank's list of held experts is wrong.
+#[tokio::test]
+async fn a_spoiled_list_of_held_experts_is_read_again() {
+    let rig =
+        Rig::start_with(&[Behaviour::Answer(200, "fine".to_string())], draft_with_model()).await;
+    let group = FakeGroup::default();
+    group.0.lock().unwrap().spoiled = 1;
+    let mut ranks = Vec::new();
+    for rank in 0..RANKS {
+        let (address, stop) = group.start_rank(rank).await;
+        let endpoint = Endpoint {
+            name: format!("rank-{rank}"),
+            service: MODEL.to_string(),
+            address,
+            centre: "a".to_string(),
+            slots: 4,
+            phase: Phase::Ready,
+            cold: Duration::ZERO,
+            born: 1,
+            member: Some(Member {
+                group: "g".to_string(),
+                epoch: 1,
+                rank,
+                size: RANKS,
+                open: true,
+            }),
+        };
+        rig.platform.change(|objects| objects.create(listing_object(&endpoint))).unwrap();
+        ranks.push(stop);
+    }
+    let prepared = async {
+        while group.0.lock().unwrap().prepared.is_empty() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    // A planner that has ended prepares nothing, and its error shows at the stop.
+    let _elapsed = tokio::time::timeout(Duration::from_secs(30), prepared).await;
+    rig.stop().await;
+    let state = group.0.lock().unwrap();
+    assert_eq!(state.spoiled, 0);
+    assert!(state.prepared[0][0].ranks.iter().flatten().all(|expert| *expert < EXPERTS as u16));
+}
