Pass every removal on to followers, and tell a cut from an outage by news

Cause: the gateway that reads the list for a data centre took a failed call of its own for an outage, kept a missing entry for 2 s, and withheld the removal from its followers while their position moved past it. Ruled out: lost news, a late list at the reader.

Change: an outage is a time without an answer of the store to any gateway, which news carry (outage.rs). Each gateway decides for itself; the relay passes all changes on.

--- a/crates/bw-direct/src/endpoint.rs
+++ b/crates/bw-direct/src/endpoint.rs
@@ -8,15 +8,13 @@
 use bw_model::Arena;
 use bw_model::Key;
 
+use crate::outage::StoreOutages;
+
 arena_key!(
     /// Key of an endpoint, valid for the lifetime of the process.
     EndpointKey
 );
 
-/// Time after the store's recovery within which endpoints whose list entries lapsed may be listed
-/// again.
-pub const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
-
 /// Phase of an endpoint according to the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -85,15 +83,6 @@
     pub state: EndpointState,
 }
 
-/// Availability of the store, which is the source of the list.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    /// The store answers. The time is when it recovered, or `None` if no call has failed.
-    Up(Option<Duration>),
-    /// The last call to the store failed.
-    Down,
-}
-
 /// Effect of an update on an endpoint in the table, for logs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointChange {
@@ -113,23 +102,12 @@
 }
 
 /// All endpoints that were ever listed in this process.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Table {
     records: Arena<EndpointKey, EndpointRecord>,
     names: HashMap<String, EndpointKey>,
     services: HashMap<String, Vec<EndpointKey>>,
-    source: Source,
-}
-
-impl Default for Table {
-    fn default() -> Self {
-        Self {
-            records: Arena::default(),
-            names: HashMap::new(),
-            services: HashMap::new(),
-            source: Source::Up(None),
-        }
-    }
+    outages: StoreOutages,
 }
 
 impl Table {
@@ -209,18 +187,15 @@
         self.of_service(service).iter().copied().filter(accepting)
     }
 
-    /// Records that a call to the store failed.
-    pub fn mark_source_down(&mut self) {
-        self.source = Source::Down;
+    /// Records that the store, which is the source of the list, answered this gateway or another one at
+    /// `at`.
+    pub fn record_store_answer(&mut self, at: Duration) {
+        self.outages.record_answer(at);
     }
 
-    /// Records that the store answered at `now`; returns true if the previous call had failed.
-    pub fn mark_source_up(&mut self, now: Duration) -> bool {
-        let was_down = self.source == Source::Down;
-        if was_down {
-            self.source = Source::Up(Some(now));
-        }
-        was_down
+    /// Records that the store has returned from an older copy.
+    pub fn record_store_restore(&mut self, now: Duration) {
+        self.outages.record_restore(now);
     }
 
     /// Adds or updates an endpoint from the list.
@@ -265,21 +240,19 @@
         let Some(key) = self.find(name) else {
             return EndpointChange::Same;
         };
-        let until = match self.source {
-            Source::Up(Some(since)) => since + LAPSE_GRACE,
-            Source::Up(None) => Duration::ZERO,
-            Source::Down => now + LAPSE_GRACE,
-        };
+        let grace_end = self.outages.grace_end(now);
         let record = &mut self.records[key];
         match record.state {
-            EndpointState::Listed if now < until => {
-                record.state = EndpointState::Lapsed(until);
-                EndpointChange::Lapsed
-            }
-            EndpointState::Listed => {
-                record.state = EndpointState::Gone;
-                EndpointChange::Removed
-            }
+            EndpointState::Listed => match grace_end {
+                Some(until) => {
+                    record.state = EndpointState::Lapsed(until);
+                    EndpointChange::Lapsed
+                }
+                None => {
+                    record.state = EndpointState::Gone;
+                    EndpointChange::Removed
+                }
+            },
             EndpointState::Lapsed(until) if until <= now => {
                 record.state = EndpointState::Gone;
                 EndpointChange::Removed
--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod limits;
 pub mod load;
 pub mod notices;
+pub mod outage;
 pub mod part_news;
 pub mod peers;
 pub mod place;
--- a/crates/bw-gateway/src/endpoints/mod.rs
+++ b/crates/bw-gateway/src/endpoints/mod.rs
@@ -200,14 +200,14 @@
         self.lock().standings.table.lapsed().any(|(_, until)| until <= now)
     }
 
-    /// Records that a call to the store failed.
-    pub fn mark_source_down(&self) {
-        self.lock().standings.table.mark_source_down();
+    /// Records that the store answered this gateway or another one at `at`.
+    pub fn record_store_answer(&self, at: Duration) {
+        self.lock().standings.table.record_store_answer(at);
     }
 
-    /// Records that the store answered at `now`; returns true if the previous call had failed.
-    pub fn mark_source_up(&self, now: Duration) -> bool {
-        self.lock().standings.table.mark_source_up(now)
+    /// Records that the store has returned from an older copy.
+    pub fn record_store_restore(&self, now: Duration) {
+        self.lock().standings.table.record_store_restore(now);
     }
 
     /// Returns the number of endpoints ever listed.
--- a/crates/bw-gateway/src/peers/gossip.rs
+++ b/crates/bw-gateway/src/peers/gossip.rs
@@ -356,6 +356,10 @@
         if news.listing != Position::default() {
             self.config.observe_era(news.listing.era(), instance, now);
         }
+        if let Some(age) = news.store {
+            let age = Duration::from_millis(u64::from(age));
+            self.endpoints.record_store_answer(now.saturating_sub(age));
+        }
         self.apply_proof(news, echo);
         self.peers.lock().duty.observe(instance, news.duty, news.state.leaving, now);
         if news.duty.is_some() {
--- a/crates/bw-gateway/src/sync/endpoints.rs
+++ b/crates/bw-gateway/src/sync/endpoints.rs
@@ -8,8 +8,7 @@
 use bw_adapter::objects::Change;
 use bw_adapter::Object;
 use bw_direct::endpoint::Endpoint;
-use bw_direct::endpoint::EndpointChange;
-use bw_direct::endpoint::LAPSE_GRACE;
+use bw_direct::outage::LAPSE_GRACE;
 use bw_kernel::Stop;
 use bw_model::Position;
 use bw_platform::StoreError;
@@ -88,7 +87,7 @@
     async fn fetch_changes(&self, feed: &Feed, known: Position) -> Result<Position, StoreError> {
         let changes = feed.watch(listing::KIND, known, Duration::ZERO).await?;
         let (next, changed) = (changes.position(), !changes.events.is_empty());
-        self.apply_changes(false, changes.events, next);
+        self.apply_changes(feed, changes.events, next);
         self.peers.record_listing(next, changed);
         Ok(next)
     }
@@ -118,7 +117,7 @@
             () = self.source_changed(upstream) => return Ok(PollOutcome::Unanswered(position)),
         };
         let (next, changed) = (changes.position(), !changes.events.is_empty());
-        self.apply_changes(upstream.feed.is_store(), changes.events, next);
+        self.apply_changes(&upstream.feed, changes.events, next);
         self.peers.record_listing(next, changed);
         if changed {
             // Entries often change together, for example when all endpoints start. After this time
@@ -151,36 +150,34 @@
         if position.era() > known.era() && !is_first {
             info!("event=store_restored position={position} known={known}");
             // Entries that are missing from the older copy return if their endpoints live.
-            self.endpoints.mark_source_down();
+            self.endpoints.record_store_restore(now);
+        }
+        if feed.is_store() {
+            self.endpoints.record_store_answer(now);
         }
-        self.endpoints.mark_source_up(now);
         self.endpoints.replace(decoded, now);
-        self.relay.replace(listing::KIND, list, position, &self.endpoints.lapsed());
+        self.relay.replace(listing::KIND, list, position, &[]);
         self.peers.record_listing(position, true);
         Ok(position)
     }
 
-    fn apply_changes(&self, from_store: bool, changes: Vec<Change>, position: Position) {
+    /// Applies changes, and passes all of them on to followers: the position that they get says that
+    /// everything before it has reached them.
+    fn apply_changes(&self, feed: &Feed, changes: Vec<Change>, position: Position) {
         let now = self.clock.now();
-        if from_store {
-            self.endpoints.mark_source_up(now);
+        if feed.is_store() {
+            self.endpoints.record_store_answer(now);
         }
-        let mut relayed = Vec::new();
-        for change in changes {
+        for change in &changes {
             let entry = if change.removed { None } else { decode_entry(&change.object) };
-            let lapsed = match entry {
-                Some(endpoint) => {
-                    self.endpoints.upsert(endpoint, now);
-                    false
+            match entry {
+                Some(endpoint) => self.endpoints.upsert(endpoint, now),
+                None => {
+                    self.endpoints.remove(&change.object.name, now);
                 }
-                None => self.endpoints.remove(&change.object.name, now) == EndpointChange::Lapsed,
-            };
-            // A lapsed entry is reported to followers only when it counts as removed.
-            if !lapsed {
-                relayed.push(change);
             }
         }
-        self.relay.apply(listing::KIND, relayed, position);
+        self.relay.apply(listing::KIND, changes, position);
     }
 }
 
--- a/crates/bw-gateway/src/sync/mod.rs
+++ b/crates/bw-gateway/src/sync/mod.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bw_direct::outage::OUTAGE_MIN;
 use bw_direct::relay::pick_source;
 use bw_direct::relay::Source;
 use bw_kernel::BootClock;
@@ -129,7 +130,9 @@
     fn watch_wait(&self, upstream: &Upstream) -> Duration {
         if upstream.feed.is_store() {
             let settings = self.settings.get();
-            settings.apply.mul_f64(WAIT_FRACTION).min(settings.revoke.mul_f64(PROOF_WAIT_FRACTION))
+            let wait = settings.apply.mul_f64(WAIT_FRACTION);
+            // A longer wait without an answer would look like an outage.
+            wait.min(settings.revoke.mul_f64(PROOF_WAIT_FRACTION)).min(OUTAGE_MIN / 2)
         } else {
             PEER_WAIT
         }
@@ -175,6 +178,7 @@
         let source = upstream.peer.map_or("store".to_string(), |peer| peer.to_string());
         if matches!(result, Ok(PollOutcome::Answered(_))) && upstream.feed.is_store() {
             self.peers.record_store_answer(now);
+            self.endpoints.record_store_answer(now);
         }
         match (result, upstream.lost_at) {
             (Ok(PollOutcome::Unanswered(_)), _) => {}
@@ -187,9 +191,6 @@
             }
             (Ok(PollOutcome::Answered(_)), None) | (Err(StoreError::HistoryGone), _) => {}
             (Err(error), lost_at) => {
-                if upstream.feed.is_store() {
-                    self.endpoints.mark_source_down();
-                }
                 if lost_at.is_none() {
                     warn!(
                         "event=dependency_lost dependency={source} what={label} reason=\"{error}\""
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -16,6 +16,7 @@
 use bw_direct::peers::Peers;
 use bw_direct::peers::LIVE_TIMEOUT;
 use bw_fake::endpoint::Behaviour;
+use bw_fake::endpoint::FakeEndpoint;
 use bw_fake::platform::Faults;
 use bw_gateway::config::Config;
 use bw_gateway::Settings;
@@ -224,7 +225,7 @@
     rig.wait_status("/status/1", 200).await;
     let entry = listing_object(&listing(&rig.endpoints[0]));
     rig.platform.change(|objects| objects.create(entry)).unwrap();
-    tokio::time::sleep(bw_direct::endpoint::LAPSE_GRACE * 2).await;
+    tokio::time::sleep(bw_direct::outage::LAPSE_GRACE * 2).await;
     assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
     rig.stop().await;
 }
@@ -238,7 +239,7 @@
     rig.platform.change(|objects| objects.remove(bw_adapter::endpoints::KIND, &name)).unwrap();
     rig.platform.set_faults(Faults::default());
     rig.wait_status("/status/1", 200).await;
-    tokio::time::sleep(bw_direct::endpoint::LAPSE_GRACE * 2).await;
+    tokio::time::sleep(bw_direct::outage::LAPSE_GRACE * 2).await;
     let before = rig.endpoints[0].observed().runs.len();
     for _ in 0..12 {
         assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
@@ -247,6 +248,36 @@
     rig.stop().await;
 }
 
+/// Guards against followers that never learn of a removal: the gateway that they follow withheld it, since its own
+/// calls to the store had failed shortly before, and passed a later change on.
+#[tokio::test]
+async fn a_removal_reaches_the_followers_of_a_gateway_that_was_cut_off_from_the_store() {
+    let rig = Rig::start(&[ok_answer(), ok_answer()]).await;
+    let follower = rig.start_peer("gateway-2").await;
+    // Until the second gateway follows the first one.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    rig.platform.set_faults(down());
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    rig.platform.set_faults(Faults::default());
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let added = FakeEndpoint::start("e-2", ok_answer()).await.unwrap();
+    let name = rig.endpoints[0].name.clone();
+    let change = rig.platform.change(|objects| {
+        objects.remove(bw_adapter::endpoints::KIND, &name)?;
+        objects.create(listing_object(&listing(&added)))
+    });
+    change.unwrap();
+    tokio::time::sleep(bw_direct::outage::LAPSE_GRACE * 2).await;
+    let before = rig.endpoints[0].observed().runs.len();
+    for _ in 0..24 {
+        assert_eq!(follower.call("GET", "/status/1", "").await.status, 200);
+    }
+    assert_eq!(rig.endpoints[0].observed().runs.len(), before);
+    assert!(!added.observed().runs.is_empty());
+    follower.stop().await;
+    rig.stop().await;
+}
+
 #[tokio::test]
 async fn a_store_that_discards_its_history_is_listed_again() {
     let rig = Rig::start(&[ok_answer()]).await;
