Bound durations and counts that come from outside

Cause: durations from outside were added to points in time, which panics on overflow. Related: 4 billion slots of an entry are counted one by one, and prompt tokens of callers were summed without a bound.

--- a/crates/bw-agent/src/runner.rs
+++ b/crates/bw-agent/src/runner.rs
@@ -8,6 +8,7 @@
 
 use bw_http::Client;
 use bw_http::ClientError;
+use bw_model::span;
 use bw_once::Crash;
 use bw_once::End;
 use bw_once::Head;
@@ -101,7 +102,7 @@
         let started_at = Instant::now();
         let (attempt, once) = (dispatch.attempt, dispatch.once);
         let request = dispatch.request.clone();
-        let deadline = started_at + Duration::from_millis(dispatch.limit);
+        let deadline = started_at + span::from_whole_millis(dispatch.limit);
         let result = tokio::select! {
             result = self.exchange(&dispatch, &view, deadline) => result,
             () = wait_cancelled(&mut cancelled) => Err(Failure::Cancelled),
--- a/crates/bw-direct/src/load.rs
+++ b/crates/bw-direct/src/load.rs
@@ -27,7 +27,7 @@
     /// Adds another amount.
     pub fn add(&mut self, other: Work) {
         self.requests += other.requests;
-        self.prompt += other.prompt;
+        self.prompt = self.prompt.saturating_add(other.prompt);
     }
 }
 
@@ -54,7 +54,7 @@
     pub fn start(&mut self, key: EndpointKey, prompt: u32) {
         let work = self.own_mut(key);
         work.requests += 1;
-        work.prompt += prompt;
+        work.prompt = work.prompt.saturating_add(prompt);
     }
 
     /// Records that a request started to answer.
--- a/crates/bw-model/src/lib.rs
+++ b/crates/bw-model/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod hash;
 pub mod ids;
 pub mod name;
+pub mod span;
 
 pub use arena::Arena;
 pub use arena::Key;
