--- a/crates/bw-fake/src/platform.rs
+++ b/crates/bw-fake/src/platform.rs
@@ -6,6 +6,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_adapter::endpoints;
 use bw_adapter::objects::codec::decode_call;
 use bw_adapter::objects::codec::encode_changes;
 use bw_adapter::objects::codec::encode_page;
@@ -21,6 +22,7 @@
 use bw_platform::budget::Purpose;
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Value;
 use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -55,6 +57,8 @@
     pub late_ms: u64,
     /// Discards the change history once, when the faults are set.
     pub forget: bool,
+    /// JSON text of an entry of another writer that all lists and changes of endpoints have first.
+    pub odd: Option<String>,
 }
 
 /// Number of calls of each kind since the start.
@@ -191,7 +195,7 @@
         match call {
             StoreCall::List { kind, after } => {
                 let page = self.lock().objects.list(&kind, &after);
-                Ok(json_reply(StatusCode::OK, &encode_page(&page)))
+                Ok(self.objects_reply(&kind, encode_page(&page), "items"))
             }
             StoreCall::Watch { kind, position, wait } => {
                 Ok(self.watch(&kind, position.revision(), wait).await)
@@ -254,11 +258,26 @@
             Err(_) => self.lock().objects.changes(kind, after),
         };
         match changes {
-            Some(changes) => json_reply(StatusCode::OK, &encode_changes(&changes)),
+            Some(changes) => self.objects_reply(kind, encode_changes(&changes), "events"),
             None => text_reply(StatusCode::GONE, "this history is gone".to_string()),
         }
     }
 
+    /// Returns a reply whose field `list` has objects, with the odd entry if there is one.
+    fn objects_reply(&self, kind: &str, body: Value, list: &str) -> Response {
+        let odd = self.lock_faults().odd.clone().filter(|_| kind == endpoints::KIND);
+        let others = body[list].as_array().map_or(0, Vec::len);
+        let Some(odd) = odd.filter(|_| others > 0 || list == "items") else {
+            return json_reply(StatusCode::OK, &body);
+        };
+        let odd =
+            if list == "items" { odd } else { format!("{{\"object\":{odd},\"deleted\":false}}") };
+        let comma = if others > 0 { "," } else { "" };
+        let start = format!("\"{list}\":[");
+        let text = body.to_string().replacen(&start, &format!("{start}{odd}{comma}"), 1);
+        text_reply(StatusCode::OK, text)
+    }
+
     async fn write(&self, call: StoreCall) -> Result<Response> {
         match self.next_reply_mode() {
             ReplyMode::Normal => Ok(object_reply(self.apply(call))),
--- a/crates/bw-gateway/src/sync/config.rs
+++ b/crates/bw-gateway/src/sync/config.rs
@@ -15,6 +15,7 @@
 use log::info;
 use log::warn;
 
+use super::listed_if_unreadable;
 use super::source::Feed;
 use super::PollOutcome;
 use super::StoreSync;
@@ -106,8 +107,9 @@
             // The position is also valid at another source, which returns only later changes.
             () = self.source_changed(upstream) => return Ok(PollOutcome::Unanswered(position)),
         };
+        let changes = listed_if_unreadable(changes)?;
         let proof = upstream.feed.is_store().then_some(sent_at);
-        if let (Some(proof), true) = (proof, changes.events.is_empty() && changes.unreadable == 0) {
+        if let (Some(proof), true) = (proof, changes.events.is_empty()) {
             self.config.prove_unchanged(proof);
         }
         let next = changes.position();
--- a/crates/bw-gateway/src/sync/endpoints.rs
+++ b/crates/bw-gateway/src/sync/endpoints.rs
@@ -15,6 +15,7 @@
 use log::info;
 use log::warn;
 
+use super::listed_if_unreadable;
 use super::source::Feed;
 use super::PollOutcome;
 use super::StoreSync;
@@ -86,6 +87,7 @@
     /// Fetches and applies the changes that a peer already knows.
     async fn fetch_changes(&self, feed: &Feed, known: Position) -> Result<Position, StoreError> {
         let changes = feed.watch(listing::KIND, known, Duration::ZERO).await?;
+        let changes = listed_if_unreadable(changes)?;
         let (next, changed) = (changes.position(), !changes.events.is_empty());
         self.apply_changes(feed, changes.events, next);
         self.peers.record_listing(next, changed);
@@ -116,6 +118,7 @@
             }
             () = self.source_changed(upstream) => return Ok(PollOutcome::Unanswered(position)),
         };
+        let changes = listed_if_unreadable(changes)?;
         let (next, changed) = (changes.position(), !changes.events.is_empty());
         self.apply_changes(&upstream.feed, changes.events, next);
         self.peers.record_listing(next, changed);
--- a/crates/bw-gateway/src/sync/evacuations.rs
+++ b/crates/bw-gateway/src/sync/evacuations.rs
@@ -11,6 +11,7 @@
 use bw_platform::StoreError;
 use log::warn;
 
+use super::listed_if_unreadable;
 use super::source::Feed;
 use super::PollOutcome;
 use super::StoreSync;
@@ -114,9 +115,7 @@
                 return Ok(PollOutcome::Unanswered(position));
             }
         };
-        if changes.unreadable > 0 {
-            warn!("event=evacuation_unreadable count={}", changes.unreadable);
-        }
+        let changes = listed_if_unreadable(changes)?;
         let next = changes.position();
         let decode = |change: &Change| Some((decode_centre(&change.object)?, !change.removed));
         let decoded: Vec<(String, bool)> = changes.events.iter().filter_map(decode).collect();
--- a/crates/bw-gateway/src/sync/mod.rs
+++ b/crates/bw-gateway/src/sync/mod.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bw_adapter::objects::Changes;
 use bw_direct::outage::OUTAGE_MIN;
 use bw_direct::relay::pick_source;
 use bw_direct::relay::Source;
@@ -202,6 +203,19 @@
     }
 }
 
+/// Returns changes, all of which could be read.
+///
+/// # Errors
+/// [`StoreError::HistoryGone`] when one could not: a position after it would hide it, whereas a list shows what
+/// there is now.
+fn listed_if_unreadable(changes: Changes) -> Result<Changes, StoreError> {
+    if changes.unreadable > 0 {
+        warn!("event=changes_unreadable count={}", changes.unreadable);
+        return Err(StoreError::HistoryGone);
+    }
+    Ok(changes)
+}
+
 /// Sleeps for `length` with random jitter, so that processes whose calls failed at the same time do
 /// not retry at the same time.
 async fn sleep_with_jitter(length: Duration) {
--- a/crates/bw-gateway/src/sync/source.rs
+++ b/crates/bw-gateway/src/sync/source.rs
@@ -9,6 +9,7 @@
 use bw_model::Position;
 use bw_platform::Store;
 use bw_platform::StoreError;
+use log::warn;
 
 /// Connection to the source of lists and changes.
 #[derive(Clone)]
@@ -34,6 +35,9 @@
             Self::Store(store) => store.list_all(kind).await,
             Self::Peer(peer) => {
                 let page = peer.list(kind, "").await?;
+                if page.unreadable > 0 {
+                    warn!("event=entries_unreadable kind={kind} count={}", page.unreadable);
+                }
                 let position = page.position();
                 Ok((page.items, position))
             }
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -278,6 +278,57 @@
     rig.stop().await;
 }
 
+/// Guards against gateways that learn of no further change of the endpoints because another writer has left one
+/// entry that cannot be read.
+#[tokio::test]
+async fn one_odd_entry_costs_only_itself() {
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let entry = |name: &str, content: &str| {
+        format!(
+            "{{\"metadata\":{{\"name\":\"{name}\",\"revision\":1}},\"specification\":{content}}}"
+        )
+    };
+    let address = |address: &str| {
+        format!(
+            "{{\"service\":\"tools\",\"address\":\"{address}\",\"zone\":\"a\",\"slots\":4,\"state\":\"ready\"}}"
+        )
+    };
+    let odd = [
+        entry("odd", &deep),
+        entry("odd", "{\"slots\":1e400}"),
+        entry("odd", "{\"slots\":99999999999999999999999999}"),
+        entry("odd", "{\"cold_remaining_ms\":1e22}"),
+        entry("odd", &address("127.0.0.1:70000")),
+        entry("odd", &address("\\udcff\\udcfe")),
+        entry("odd", &address("line\nbreak")),
+        entry("\\udcff", "{}"),
+        format!("{{\"metadata\":{deep}}}"),
+        "1e999".to_string(),
+        "null".to_string(),
+    ];
+    let rig = Rig::start(&[ok_answer()]).await;
+    let mut last = rig.endpoints[0].clone();
+    for (number, odd) in odd.into_iter().enumerate() {
+        let text: String = odd.chars().take(80).collect();
+        rig.platform.set_faults(Faults { odd: Some(odd), ..Faults::default() });
+        let next = FakeEndpoint::start(&format!("next-{number}"), ok_answer()).await.unwrap();
+        let change = rig.platform.change(|objects| {
+            objects.create(listing_object(&listing(&next)))?;
+            objects.remove(bw_adapter::endpoints::KIND, &last.name)
+        });
+        change.unwrap();
+        let mut calls = 0;
+        while next.observed().runs.is_empty() && calls < 100 {
+            rig.call("GET", "/status/1", "").await;
+            calls += 1;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(!next.observed().runs.is_empty(), "nothing is learned beside {text}");
+        last = next;
+    }
+    rig.stop().await;
+}
+
 #[tokio::test]
 async fn a_store_that_discards_its_history_is_listed_again() {
     let rig = Rig::start(&[ok_answer()]).await;
--- a/crates/bw-platform/src/store.rs
+++ b/crates/bw-platform/src/store.rs
@@ -13,6 +13,7 @@
 use bw_kernel::KernelError;
 use bw_kernel::Metrics;
 use bw_model::Position;
+use log::warn;
 use prometheus::IntCounterVec;
 use tokio::time::Instant;
 
@@ -100,19 +101,29 @@
     ///
     /// # Errors
     /// Any [`StoreError`] of a page.
-    /// [`StoreError::HistoryGone`] when the store was restored between two pages.
+    /// [`StoreError::HistoryGone`] when the store was restored between two pages; [`StoreError::Invalid`] when a
+    /// page has no object with a name, and more pages follow.
     pub async fn list_all(&self, kind: &str) -> Result<(Vec<Object>, Position), StoreError> {
         let mut page = self.list(kind, "").await?;
         let position = page.position();
         let mut list = std::mem::take(&mut page.items);
+        let mut unreadable = page.unreadable;
         while page.more {
-            let Some(last) = list.last().map(|object| object.name.clone()) else { break };
+            let last = list.last().map(|object| object.name.clone()).unwrap_or_default();
             page = self.list(kind, &last).await?;
             if page.era != position.era() {
                 return Err(StoreError::HistoryGone);
             }
+            // Without a name, there is no next page to ask for.
+            if page.more && page.items.is_empty() {
+                return Err(StoreError::Invalid(format!("{kind}: a page names no object")));
+            }
+            unreadable += page.unreadable;
             list.append(&mut page.items);
         }
+        if unreadable > 0 {
+            warn!("event=entries_unreadable kind={kind} count={unreadable}");
+        }
         Ok((list, position))
     }
 
