End the proof of a configuration when the store shows one that cannot be read

Callers would see: a key that an unreadable configuration takes away goes on working without an end, since each watch without a further change proved the configuration in force again.

Cause: the position moved past a configuration that could not be decoded, and an empty watch after it counted as "unchanged". Found while looking for positions that move past what was not read.

Change: until the store shows a readable configuration, its answers prove nothing. Requests that need a key are then refused as not run, with a time to return, once the last proof is too old.

Evidence: `an_unreadable_configuration_ends_the_proof_of_the_one_in_force` failed before (100 of 100 calls answered 200, 5 s at a bound of 1.5 s), passes now.

--- a/crates/bw-gateway/src/config.rs
+++ b/crates/bw-gateway/src/config.rs
@@ -168,6 +168,12 @@
         }
     }
 
+    /// Records that the store shows a configuration that cannot be read. It may take keys away, so that
+    /// answers without a change prove nothing until the store shows one that can be read.
+    pub fn record_unreadable(&self) {
+        self.lock().listed = Version(0);
+    }
+
     /// Returns the age of the proof that the catalog is the newest; `None` without a proof.
     pub fn proof_age(&self, now: Duration) -> Option<Duration> {
         self.lock().proof.map(|proof| now.saturating_sub(proof))
--- a/crates/bw-gateway/src/sync/config.rs
+++ b/crates/bw-gateway/src/sync/config.rs
@@ -178,6 +178,9 @@
             }
             Err(reason) => {
                 warn!("event=configuration_unreadable revision={} {reason}", object.revision);
+                if proof.is_some() {
+                    self.config.record_unreadable();
+                }
                 false
             }
         }
--- a/crates/bw-gateway/tests/sync.rs
+++ b/crates/bw-gateway/tests/sync.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bw_adapter::stand_in::config::config_object;
 use bw_adapter::stand_in::endpoint::listing_object;
 use bw_direct::catalog::RouteKind;
 use bw_direct::catalog::Workspace;
@@ -329,6 +330,28 @@
     rig.stop().await;
 }
 
+/// Guards against a configuration that is taken for the newest although the store shows one that cannot be read:
+/// that one may take keys away.
+#[tokio::test]
+async fn an_unreadable_configuration_ends_the_proof_of_the_one_in_force() {
+    let rig = Rig::start_adjusted(&[ok_answer()], draft(1), |settings| {
+        settings.revoke = Duration::from_millis(1_500);
+    })
+    .await;
+    let mut unreadable = config_object(&draft(2));
+    unreadable.content = serde_json::json!("not a configuration");
+    rig.platform.change(|objects| objects.replace(unreadable)).unwrap();
+    let mut statuses = Vec::new();
+    while statuses.len() < 100 && !statuses.contains(&503) {
+        statuses.push(rig.call("GET", "/status/1", "").await.status);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(statuses.contains(&503), "{statuses:?}");
+    rig.configure(&draft(3));
+    rig.wait_status("/status/1", 200).await;
+    rig.stop().await;
+}
+
 #[tokio::test]
 async fn a_store_that_discards_its_history_is_listed_again() {
     let rig = Rig::start(&[ok_answer()]).await;
