Believe "not run" only of the request that it names

Cause: refusals may lack the attempt's id, and one without was believed wherever it came. Ruled out: refusals that name another attempt (never believed).

Change: a refusal counts if it names the attempt, or names none and is the first answer on its connection. Otherwise the request may have run. The rule is a function of bw-direct with a test for 400, 408, 421, 429 and 503.

Evidence: `an_earlier_refusal_on_a_kept_connection_refuses_no_other_request` failed before ("400: Reply { status: 503 … no_endpoint"), passes now.

--- a/crates/bw-direct/src/request.rs
+++ b/crates/bw-direct/src/request.rs
@@ -122,7 +122,28 @@
     pub events: bool,
 }
 
+/// Status with which an endpoint rejects a request that is addressed to another endpoint.
+pub const MISDIRECTED: u16 = 421;
+
 impl ReplyHead {
+    /// Returns whether the answer states that its request has not run, whichever request that is.
+    pub fn is_refusal(&self) -> bool {
+        self.not_run || self.status == MISDIRECTED
+    }
+
+    /// Returns whether the answer states that `attempt` has not run; `first` tells whether it is the first
+    /// answer on its connection.
+    ///
+    /// Endpoints may leave the attempt out of refusals. On a connection that was used before, such a refusal
+    /// may belong to an earlier request.
+    pub fn refuses(&self, attempt: &str, first: bool) -> bool {
+        let belongs = match &self.attempt {
+            Some(named) => named == attempt,
+            None => first,
+        };
+        self.is_refusal() && belongs
+    }
+
     /// Returns what the answer to `attempt` says about the endpoint's limit, if anything. A rejection that
     /// names no limit says nothing, nor does an answer to an earlier request that comes late.
     pub fn limit_statement(&self, attempt: &str) -> Option<Statement> {
--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -51,6 +51,9 @@
     /// Runs the request and sends the answer to the connection's last request once more, with the given body,
     /// before the answer to this one.
     LateDuplicate(String),
+    /// Runs the request. On a connection that has carried another one, writes a refusal with this status and
+    /// without an attempt's id, as of the earlier request, before the answer to this one.
+    LateRefusal(u16),
     /// Runs the request and answers with another attempt's id.
     WrongAttempt(String),
     /// Runs the request and resets the connection.
@@ -306,6 +309,21 @@
                 stream.write_all(format!("{head}fine").as_bytes()).await?;
                 return Ok(true);
             }
+            Behaviour::LateRefusal(status) => {
+                if last.is_some() {
+                    let metadata = ReplyMetadata {
+                        attempt: None,
+                        stamped: false,
+                        not_run: true,
+                        ..metadata.clone()
+                    };
+                    let head = head(*status, &metadata, &content_length(""));
+                    stream.write_all(head.as_bytes()).await?;
+                }
+                let head = ok_head(&content_length("fine"));
+                stream.write_all(format!("{head}fine").as_bytes()).await?;
+                return Ok(true);
+            }
             Behaviour::WrongAttempt(body) => {
                 let metadata =
                     ReplyMetadata { attempt: Some("another".to_string()), ..metadata.clone() };
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -10,6 +10,7 @@
 use bw_direct::events::EventBuffer;
 use bw_direct::events::Events;
 use bw_direct::request::ReplyHead;
+use bw_direct::request::MISDIRECTED;
 use bw_http::Channel;
 use bw_http::ChannelBody;
 use bw_http::ChannelError;
@@ -33,8 +34,6 @@
 /// Time, in target latencies of the route, after which an idempotent request without an answer is
 /// sent to another endpoint.
 const ANSWER_TIMEOUT_TARGETS: u32 = 4;
-/// HTTP status with which an endpoint rejects a request that is addressed to another endpoint.
-const MISDIRECTED: u16 = 421;
 /// Greatest age of what the runtime knows of the callers' connections when a request is sent. Other
 /// work may keep a gateway busy for longer, and callers leave meanwhile.
 const CALLER_AGE_MAX: Duration = Duration::from_millis(200);
@@ -258,6 +257,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<ReceivedAnswer, SendFailure> {
         let sent_at = self.clock.now();
+        let first = !channel.is_used();
         let response = match channel.send(request).await {
             Ok(response) => response,
             Err(ChannelError::NotSent(reason) | ChannelError::Refused(reason)) => {
@@ -279,7 +279,7 @@
         {
             self.waiting.reject_unserved(&job.service);
         }
-        self.check_reply(job, placed, &reply)?;
+        self.check_reply(job, placed, &reply, first)?;
         if reply.events && parts.status.is_success() {
             return read_first_events(placed, reply, parts, body).await;
         }
@@ -316,17 +316,17 @@
         Ok((bytes.freeze(), memory))
     }
 
-    /// Checks that an answer belongs to the request and that the endpoint ran the request.
+    /// Checks that an answer belongs to the request and that the endpoint ran the request. `first` tells
+    /// whether it is the first answer on its connection.
     fn check_reply(
         &self,
         job: &Job,
         placed: &PlacedRequest,
         reply: &ReplyHead,
+        first: bool,
     ) -> Result<(), SendFailure> {
         let same_attempt = reply.attempt.as_deref() == Some(job.head.attempt.as_str());
-        let other_attempt = reply.attempt.is_some() && !same_attempt;
-        let not_run = reply.not_run || reply.status == MISDIRECTED;
-        if not_run && !other_attempt {
+        if reply.refuses(&job.head.attempt, first) {
             // Another endpoint uses the address now.
             let blameless = reply.status == MISDIRECTED;
             if blameless {
@@ -336,7 +336,12 @@
             return Err(SendFailure { blameless, ..SendFailure::new(SendEnd::NotRun, reason) });
         }
         if !same_attempt {
-            return Err(SendFailure::new(SendEnd::MayHaveRun, "answer to another attempt"));
+            let reason = if reply.is_refusal() {
+                "refusal of another attempt"
+            } else {
+                "answer to another attempt"
+            };
+            return Err(SendFailure::new(SendEnd::MayHaveRun, reason));
         }
         let success = (200..300).contains(&reply.status);
         if reply.encoded || (success && !reply.stamped) {
--- a/crates/bw-gateway/tests/once.rs
+++ b/crates/bw-gateway/tests/once.rs
@@ -81,6 +81,29 @@
     }
 }
 
+/// Guards against an earlier refusal, written once more on a kept connection, that is taken for the refusal of a request
+/// that runs: its caller is told "not run", or it runs at another endpoint too.
+#[tokio::test]
+async fn an_earlier_refusal_on_a_kept_connection_refuses_no_other_request() {
+    for status in [400, 408, 421, 429, 503] {
+        let rig =
+            Rig::start(&[Behaviour::LateRefusal(status), Behaviour::LateRefusal(status)]).await;
+        for number in 0..12 {
+            let mut channel = rig.connect().await;
+            let request = request("POST", "/order/1", "press it", &format!("a-{number}"));
+            let reply = read_reply(channel.send(request).await.unwrap()).await;
+            assert!([200, 502].contains(&reply.status), "{status}: {reply:?}");
+        }
+        let mut runs: Vec<String> = Vec::new();
+        rig.endpoints.iter().for_each(|endpoint| runs.extend(endpoint.observed().runs));
+        let count = runs.len();
+        runs.sort();
+        runs.dedup();
+        assert_eq!((count, runs.len()), (12, 12), "{status}: attempts ran twice or not at all");
+        rig.stop().await;
+    }
+}
+
 #[tokio::test]
 async fn a_request_that_every_endpoint_rejected_is_refused_with_a_retry_after_time() {
     let rig = Rig::start(&[Behaviour::Shed, Behaviour::Shed]).await;
--- a/crates/bw-http/src/channel.rs
+++ b/crates/bw-http/src/channel.rs
@@ -105,6 +105,8 @@
     sender: SendRequest<Full<Bytes>>,
     allowance: Allowance,
     task: AbortHandle,
+    /// Whether a request was sent on it.
+    used: bool,
 }
 
 impl Drop for Channel {
@@ -141,7 +143,7 @@
             // connection.
             let _ = connection.await;
         });
-        Ok(Self { sender, allowance, task: task.abort_handle() })
+        Ok(Self { sender, allowance, task: task.abort_handle(), used: false })
     }
 
     /// Returns whether the connection can accept a request now.
@@ -149,6 +151,12 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether a request was sent on the connection before. The answer to the next one may then be
+    /// a late one to an earlier request.
+    pub fn is_used(&self) -> bool {
+        self.used
+    }
+
     /// Waits until the last response is read to its end, and returns whether the connection can
     /// accept another request.
     pub async fn ready(&mut self) -> bool {
@@ -164,6 +172,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<ChannelBody>, ChannelError> {
         self.allowance.set(BYTES_BETWEEN);
+        self.used = true;
         match self.sender.try_send_request(request).await {
             Ok(response) => {
                 self.allowance.set(BYTES_BETWEEN);
