Pass a later part of a stream on only if its events go on

Cause: after a stream had broken off, any answer of events to the attempt was taken for its continuation.

Ruled out: errors by status or head, answers to other attempts and refusals never reached the stream.

Change: continuity.rs checks the id of each event of a later part, and that an event that was begun has come before the end. What does not fit counts as a failure of that endpoint; the next one is asked, or the stream stays unfinished.

--- a/crates/bw-direct/src/events.rs
+++ b/crates/bw-direct/src/events.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use smallvec::SmallVec;
 
 /// Maximum size in bytes of an incomplete event in the buffer.
 const EVENT_BYTES_MAX: usize = 1_048_576;
@@ -11,10 +12,8 @@
 pub struct Events {
     /// Bytes of the events, including the blank line that ends the last one.
     pub bytes: Bytes,
-    /// Id of the last event that carries one.
-    pub last_id: Option<u64>,
-    /// Number of events in `bytes`; comments and blank lines alone make none.
-    pub count: u32,
+    /// Ids of the events in `bytes`; comments and blank lines alone make none.
+    pub ids: SmallVec<[Option<u64>; 2]>,
 }
 
 /// Buffers bytes until they form complete events.
@@ -28,15 +27,15 @@
     pub fn push(&mut self, bytes: &[u8]) -> Option<Events> {
         self.bytes.extend_from_slice(bytes);
         let mut end = 0;
-        let mut last_id = None;
-        let mut count = 0;
+        let mut ids = SmallVec::new();
         while let Some(length) = event_length(&self.bytes[end..]) {
             let event = &self.bytes[end..end + length];
-            last_id = event_id(event).or(last_id);
-            count += u32::from(has_field(event));
+            if has_field(event) {
+                ids.push(event_id(event));
+            }
             end += length;
         }
-        (end > 0).then(|| Events { bytes: self.bytes.split_to(end).freeze(), last_id, count })
+        (end > 0).then(|| Events { bytes: self.bytes.split_to(end).freeze(), ids })
     }
 
     /// Returns whether no bytes of an incomplete event are buffered.
--- a/crates/bw-direct/src/lib.rs
+++ b/crates/bw-direct/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod centre_news;
 pub mod centre_plan;
 pub mod cold;
+pub mod continuity;
 pub mod eligibility;
 pub mod endpoint;
 pub mod evacuation;
--- a/crates/bw-direct/tests/events.rs
+++ b/crates/bw-direct/tests/events.rs
@@ -10,11 +10,11 @@
     let mut buffer = EventBuffer::default();
     let events = buffer.push(b"id: 1\ndata: a\n\nid: 2\nda").unwrap();
     assert_eq!(&events.bytes[..], b"id: 1\ndata: a\n\n");
-    assert_eq!((events.last_id, events.count), (Some(1), 1));
+    assert_eq!(events.ids.as_slice(), [Some(1)]);
     assert!(!buffer.is_empty());
     let events = buffer.push(b"ta: b\n\n").unwrap();
     assert_eq!(&events.bytes[..], b"id: 2\ndata: b\n\n");
-    assert_eq!(events.last_id, Some(2));
+    assert_eq!(events.ids.as_slice(), [Some(2)]);
     assert!(buffer.is_empty());
 }
 
@@ -22,15 +22,16 @@
 fn lines_may_end_with_carriage_returns() {
     let mut buffer = EventBuffer::default();
     let events = buffer.push(b"id:7\r\ndata: x\r\n\r\n").unwrap();
-    assert_eq!((events.last_id, events.count), (Some(7), 1));
+    assert_eq!(events.ids.as_slice(), [Some(7)]);
 }
 
 #[test]
-fn events_without_an_id_keep_the_last_one() {
+fn events_without_an_id_are_told_apart() {
     let mut buffer = EventBuffer::default();
     let events = buffer.push(b"id: 3\ndata: a\n\ndata: b\n\n").unwrap();
-    assert_eq!((events.last_id, events.count), (Some(3), 2));
-    assert_eq!(buffer.push(b"data: c\n\n").unwrap().last_id, None);
+    assert_eq!(events.ids.as_slice(), [Some(3), None]);
+    assert_eq!(buffer.push(b"data: c\n\n").unwrap().ids.as_slice(), [None]);
+    assert!(buffer.push(b": a comment\n\n").unwrap().ids.is_empty());
 }
 
 proptest! {
--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -78,6 +78,15 @@
     Stream(u64),
     /// Runs the request, streams events up to the given number, and closes within the next one.
     BrokenStream(u64),
+    /// Runs the request, streams events up to the given number, and closes between two events.
+    CutStream(u64),
+    /// Runs the request and streams the events from the first to the second number, wherever the caller wants
+    /// to go on.
+    StreamFrom(u64, u64),
+    /// Runs the request and streams one event without an id, with the given text.
+    StreamText(String),
+    /// Handles a request that goes on with a stream by the second entry, and any other by the first one.
+    Resumed(Vec<Behaviour>),
     /// Runs the request, streams events up to number 1, and then keeps the stream open.
     SilentStream,
     /// Runs the request, streams events up to number 1, and then sends a byte of the next event at each
@@ -231,6 +240,10 @@
             let behaviour = match behaviour {
                 Behaviour::CrashOnPart(part) if request.parts.contains(&part) => Behaviour::Crash,
                 Behaviour::CrashOnPart(_) => Behaviour::Stream(2),
+                Behaviour::Resumed(mut cases) => {
+                    let index = usize::from(request.last_event.is_some());
+                    cases.swap_remove(index.min(cases.len() - 1))
+                }
                 Behaviour::ByPath(cases) => {
                     let case = cases.into_iter().find(|(path, _)| request.path.starts_with(path));
                     case.map_or(Behaviour::Close, |(_, behaviour)| behaviour)
@@ -341,7 +354,7 @@
                 return Ok(true);
             }
             // `serve` has replaced them by what they stand for.
-            Behaviour::CrashOnPart(_) | Behaviour::ByPath(_) => {}
+            Behaviour::CrashOnPart(_) | Behaviour::ByPath(_) | Behaviour::Resumed(_) => {}
             Behaviour::Crash => {
                 stream.set_zero_linger()?;
                 self.crashed.notify_one();
@@ -386,6 +399,23 @@
                 let part = format!("id: {}\ndata: pa", last + 1);
                 stream.write_all(chunk(&part).as_bytes()).await?;
             }
+            Behaviour::CutStream(last) => {
+                self.write_events(stream, &ok_head(STREAM_HEADERS), request, *last).await?;
+            }
+            Behaviour::StreamFrom(first, last) => {
+                stream.write_all(ok_head(STREAM_HEADERS).as_bytes()).await?;
+                for id in *first..=*last {
+                    stream.write_all(chunk(&event_text(id)).as_bytes()).await?;
+                }
+                stream.write_all(b"0\r\n\r\n").await?;
+                return Ok(true);
+            }
+            Behaviour::StreamText(text) => {
+                let event = chunk(&format!("data: {text}\n\n"));
+                let head = ok_head(STREAM_HEADERS);
+                stream.write_all(format!("{head}{event}0\r\n\r\n").as_bytes()).await?;
+                return Ok(true);
+            }
             Behaviour::SilentStream => {
                 self.write_events(stream, &ok_head(STREAM_HEADERS), request, 1).await?;
                 self.wait_for_close(stream).await?;
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -164,7 +164,8 @@
                         self.keep_channel(&placed, &decode_reply(&whole.parts), channel);
                         EndpointAnswer::Whole(whole)
                     }
-                    ReceivedAnswer::Started { reply, parts, body, buffer, first } => {
+                    ReceivedAnswer::Started(stream) => {
+                        let ReceivedStream { reply, parts, body, buffer, first } = *stream;
                         let opened = OpenAnswer { channel, placed, reply, parts, body };
                         EndpointAnswer::Started(Box::new(StartedStream { opened, buffer, first }))
                     }
@@ -363,13 +364,16 @@
 /// An answer before it is combined with its connection.
 enum ReceivedAnswer {
     Whole(WholeAnswer),
-    Started {
-        reply: ReplyHead,
-        parts: response::Parts,
-        body: ChannelBody,
-        buffer: EventBuffer,
-        first: Option<Events>,
-    },
+    Started(Box<ReceivedStream>),
+}
+
+/// A stream, received up to its first events, before it is combined with its connection.
+struct ReceivedStream {
+    reply: ReplyHead,
+    parts: response::Parts,
+    body: ChannelBody,
+    buffer: EventBuffer,
+    first: Option<Events>,
 }
 
 /// Reads a stream up to its first events, or up to its end if it has none.
@@ -396,7 +400,7 @@
         }
     };
     placed.start_answer();
-    Ok(ReceivedAnswer::Started { reply, parts, body, buffer, first })
+    Ok(ReceivedAnswer::Started(Box::new(ReceivedStream { reply, parts, body, buffer, first })))
 }
 
 /// Returns the next bytes of a body, or `None` at its end.
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -5,7 +5,10 @@
 
 use bw_adapter::requests::reply_headers;
 use bw_direct::attempts::SendEnd;
+use bw_direct::continuity::Continuity;
+use bw_direct::continuity::Discontinuity;
 use bw_direct::endpoint::EndpointKey;
+use bw_direct::events::EventBuffer;
 use bw_direct::events::Events;
 use bw_direct::wait_limits::stall_max;
 use log::info;
@@ -13,6 +16,7 @@
 
 use super::exchange::next_bytes;
 use super::exchange::EndpointAnswer;
+use super::exchange::OpenAnswer;
 use super::exchange::StartedStream;
 use super::exchange::EVENT_TOO_LARGE;
 use super::job::Job;
@@ -34,8 +38,8 @@
     forwarder: Forwarder,
     job: Job,
     sender: EventSender,
-    /// Id of the last event that was forwarded.
-    last_event: Option<u64>,
+    /// What was forwarded so far.
+    continuity: Continuity,
     /// Time at which the last event was forwarded.
     forwarded_at: Duration,
     /// Longest time between two events.
@@ -63,12 +67,13 @@
         let status = started.opened.parts.status;
         let headers = reply_headers(&started.opened.parts);
         let (sender, body) = event_stream(CHANNEL_CAPACITY);
-        let (last_event, forwarded_at) = (job.head.last_event, self.clock.now());
+        let continuity = Continuity::new(job.head.last_event);
+        let forwarded_at = self.clock.now();
         let stream = Stream {
             forwarder: self.clone(),
             job,
             sender,
-            last_event,
+            continuity,
             forwarded_at,
             longest_pause: Duration::ZERO,
             events: 0,
@@ -84,7 +89,7 @@
         let mut part = started;
         let result = loop {
             let chosen = part.opened.placed.chosen.clone();
-            match self.forward_events(part).await {
+            match self.forward_part(part).await {
                 PartEnd::Complete => {
                     self.forwarder.suspects.clear(self.job.fingerprint);
                     self.forwarder.suspects.clear_parts(&self.job.head);
@@ -123,7 +128,7 @@
              pause_ms={} took_ms={}",
             self.job.head.attempt,
             self.events,
-            self.last_event.map_or(-1, |last| last as i64),
+            self.continuity.last_event().map_or(-1, |last| last as i64),
             self.job.trace.trim_end(),
             first_at.saturating_sub(self.job.arrived_at).as_millis(),
             self.longest_pause.as_millis(),
@@ -135,8 +140,30 @@
     }
 
     /// Forwards the events that one endpoint sends.
-    async fn forward_events(&mut self, started: StartedStream) -> PartEnd {
+    async fn forward_part(&mut self, started: StartedStream) -> PartEnd {
         let StartedStream { mut opened, mut buffer, first } = started;
+        let end = self.forward_events(&mut opened, &mut buffer, first).await;
+        match end {
+            PartEnd::Complete => {
+                let forwarder = &self.forwarder;
+                let now = forwarder.clock.now();
+                forwarder.endpoints.record_success(opened.placed.chosen.key, now);
+                forwarder.keep_channel(&opened.placed, &opened.reply, opened.channel);
+            }
+            PartEnd::Broken(_) | PartEnd::Moving(_) => {
+                self.continuity.begin_part(!buffer.is_empty());
+            }
+            PartEnd::CallerLeft | PartEnd::Expired => {}
+        }
+        end
+    }
+
+    async fn forward_events(
+        &mut self,
+        opened: &mut OpenAnswer,
+        buffer: &mut EventBuffer,
+        first: Option<Events>,
+    ) -> PartEnd {
         if let Some(events) = first {
             if let Err(end) = self.send_events(events).await {
                 return end;
@@ -158,7 +185,7 @@
             match next {
                 Ok(Some(bytes)) => {
                     if let Some(events) = buffer.push(&bytes) {
-                        let progress = events.count > 0;
+                        let progress = !events.ids.is_empty();
                         if progress {
                             self.record_pause(opened.placed.chosen.key);
                         }
@@ -177,12 +204,10 @@
                     }
                 }
                 Ok(None) if buffer.is_empty() => {
-                    let forwarder = &self.forwarder;
-                    forwarder
-                        .endpoints
-                        .record_success(opened.placed.chosen.key, forwarder.clock.now());
-                    forwarder.keep_channel(&opened.placed, &opened.reply, opened.channel);
-                    return PartEnd::Complete;
+                    return match self.continuity.check_end() {
+                        Ok(()) => PartEnd::Complete,
+                        Err(error) => self.reject_part(error),
+                    };
                 }
                 Ok(None) => return PartEnd::Broken("partial event".to_string()),
                 Err(reason) => return PartEnd::Broken(reason),
@@ -199,11 +224,11 @@
     /// Sends events to the caller.
     ///
     /// # Errors
-    /// [`PartEnd::CallerLeft`], or [`PartEnd::Expired`] when the caller did not read until the
-    /// deadline.
+    /// [`PartEnd::CallerLeft`], [`PartEnd::Expired`] when the caller did not read until the deadline, or
+    /// [`PartEnd::Broken`] when the events do not go on where the last part ended.
     async fn send_events(&mut self, events: Events) -> Result<(), PartEnd> {
-        self.last_event = events.last_id.or(self.last_event);
-        self.events += events.count;
+        self.continuity.accept(&events.ids).map_err(|error| self.reject_part(error))?;
+        self.events += events.ids.len() as u32;
         let now = self.forwarder.clock.now();
         self.longest_pause = self.longest_pause.max(now.saturating_sub(self.forwarded_at));
         self.forwarded_at = now;
@@ -215,6 +240,12 @@
         }
     }
 
+    /// Counts a part that does not continue the last one, and ends it.
+    fn reject_part(&self, error: Discontinuity) -> PartEnd {
+        self.forwarder.metrics.record_invalid("stream_part");
+        PartEnd::Broken(error.to_string())
+    }
+
     /// Returns a place at another endpoint if the one that sends the stream should be evacuated and
     /// the stream may be sent once more.
     fn place_elsewhere(&self, key: EndpointKey) -> Option<PlacedRequest> {
@@ -230,7 +261,7 @@
     /// first, if it is given. Returns `None` if the stream cannot be resumed or the caller has
     /// disconnected.
     async fn resume(&mut self, mut placed: Option<PlacedRequest>) -> Option<StartedStream> {
-        if !self.job.route().resumable {
+        if !self.job.route().resumable || !self.continuity.can_resume() {
             return None;
         }
         let mut end = SendEnd::MayHaveRun;
@@ -250,7 +281,7 @@
             let result = tokio::select! {
                 biased;
                 () = self.sender.closed() => return None,
-                result = forwarder.send(&mut self.job, placed, self.last_event) => result,
+                result = forwarder.send(&mut self.job, placed, self.continuity.last_event()) => result,
             };
             match result {
                 Ok(EndpointAnswer::Started(started)) => return Some(*started),
