--- a/crates/bw-gateway/src/forward/job.rs
+++ b/crates/bw-gateway/src/forward/job.rs
@@ -33,7 +33,7 @@
     pub head: CallerHead,
     /// Complete body.
     pub body: Bytes,
-    /// Hash of workspace, path and body, which identifies the same request under another attempt
+    /// Hash of workspace, path with query, and body, which identifies the same request under another attempt
     /// id.
     pub fingerprint: u64,
     /// Reservation of the memory that the body occupies.
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -179,7 +179,9 @@
         let memory = self.reserve_memory(&body, catalog.limits.body)?;
         let body = self.read_body(body, catalog.limits.body, remaining).await?;
         let workspace_name = workspace.map_or("", |workspace| workspace.name.as_str());
-        let fingerprint = fingerprint(workspace_name, parts.uri.path(), &body);
+        // A request without a query has the fingerprint that earlier releases give it.
+        let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
+        let fingerprint = fingerprint(workspace_name, target, &body);
         let shared = head.shared_parts();
         self.suspects.record_arrival(&shared);
         if self.suspects.is_quarantined(fingerprint, &shared) {
--- a/crates/bw-gateway/tests/hostile.rs
+++ b/crates/bw-gateway/tests/hostile.rs
@@ -9,6 +9,7 @@
 use bw_direct::catalog::Draft;
 use bw_direct::catalog::Limits;
 use bw_fake::endpoint::Behaviour;
+use bw_fake::endpoint::FakeEndpoint;
 use common::draft;
 use common::read_reply;
 use common::request;
@@ -152,3 +153,32 @@
     assert_eq!(crashes(), 4);
     rig.stop().await;
 }
+
+/// Guards against a request that crashes endpoints without an end, since sound requests that differ from it only in the
+/// query clear the evidence against it.
+#[tokio::test]
+async fn sound_requests_with_another_query_do_not_clear_a_request_that_crashes_endpoints() {
+    let crash = ("/order/1?cause=crash".to_string(), Behaviour::Crash);
+    let sound = ("/order/1".to_string(), Behaviour::Answer(200, "fine".to_string()));
+    let rig = Rig::start(&vec![Behaviour::ByPath(vec![crash, sound]); 8]).await;
+    let crashes = || {
+        let runs = |one: &&FakeEndpoint| {
+            one.observed().requests.iter().any(|request| request.path.contains("crash"))
+        };
+        rig.endpoints.iter().filter(runs).count()
+    };
+    while crashes() < 3 {
+        rig.call("POST", "/order/1?cause=crash", "the same").await;
+        // Gives the check of whether the endpoint still listens time to finish.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        for number in 0..4 {
+            let reply = rig.call("POST", &format!("/order/1?number={number}"), "the same").await;
+            assert_eq!(reply.status, 200);
+        }
+    }
+    for _ in 0..4 {
+        assert_eq!(rig.call("POST", "/order/1?cause=crash", "the same").await.status, 503);
+    }
+    assert_eq!(crashes(), 3);
+    rig.stop().await;
+}
