Tell gateways that start of the requests that are quarantined

Cause: crashes are told for three seconds only, and the evidence is in the memory of the gateways. A new one gets none.

Change: for three seconds after a peer was first heard, news list the crashes behind quarantined requests, own and heard ones. Ruled out: the store (a call for each quarantine, where news suffice as long as one gateway lives).

--- a/crates/bw-gateway/src/suspects.rs
+++ b/crates/bw-gateway/src/suspects.rs
@@ -85,7 +85,7 @@
     stored: HashSet<u64>,
     /// Parts whose quarantine has ended, and that the store may still have.
     ended: Vec<u64>,
-    /// Time until which the news list the quarantined parts.
+    /// Time until which the news list what is quarantined.
     announce_until: Duration,
 }
 
@@ -272,17 +272,26 @@
         Some(at.saturating_sub(self.clock.now()))
     }
 
-    /// Lists the quarantined parts in the next news, for a peer that may not know them.
+    /// Lists what is quarantined in the next news, for a peer that may not know it.
     pub fn announce(&self) {
         self.lock().announce_until = self.clock.now() + NEWS_DURATION;
     }
 
-    /// Returns the suspects of recent crashes for the news to peers, newest first.
+    /// Returns the suspects of recent crashes for the news to peers, newest first; for a peer that may not
+    /// know them, also those of the crashes for which requests are quarantined.
     pub fn news(&self) -> Vec<SuspectNews> {
         let now = self.clock.now();
         let mut state = self.lock();
         drop_old(&mut state.recent, now);
-        state.recent.iter().rev().take(NEWS_MAX).map(|(_, suspect)| suspect.clone()).collect()
+        let recent = state.recent.iter().rev().map(|(_, suspect)| suspect.clone());
+        let announced = now < state.announce_until;
+        let known = state.evidence.quarantined().filter(|_| announced);
+        let known = known.map(|(fingerprint, endpoint, incarnation)| SuspectNews {
+            endpoint: endpoint.to_string(),
+            born: incarnation.0,
+            fingerprint,
+        });
+        recent.chain(known).take(NEWS_MAX).collect()
     }
 
     /// Returns the recent evidence about parts of prompts for the peers, newest first.
--- a/crates/bw-gateway/tests/hostile.rs
+++ b/crates/bw-gateway/tests/hostile.rs
@@ -182,3 +182,30 @@
     assert_eq!(crashes(), 3);
     rig.stop().await;
 }
+
+/// Guards against a request that crashes three more endpoints at each gateway that was stopped and started as planned.
+#[tokio::test]
+async fn a_gateway_that_starts_learns_which_requests_crash_endpoints() {
+    let rig = Rig::start(&vec![Behaviour::Crash; 6]).await;
+    let crashes = || rig.endpoints.iter().filter(|one| !one.observed().runs.is_empty()).count();
+    while crashes() < 3 {
+        rig.call("POST", "/order/poison", "the same").await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    // Until the news of the crashes have ended.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let started = rig.start_peer("gateway-2").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(started.call("POST", "/order/poison", "the same").await.status, 503);
+    // Knowledge of a peer is passed on like own knowledge.
+    let next = rig.start_peer("gateway-3").await;
+    rig.stop().await;
+    let last = next.start_peer("gateway-4").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(last.call("POST", "/order/poison", "the same").await.status, 503);
+    let crashes = last.endpoints.iter().filter(|one| !one.observed().runs.is_empty()).count();
+    assert_eq!(crashes, 3);
+    for rig in [started, next, last] {
+        rig.stop().await;
+    }
+}
--- a/crates/bw-once/src/evidence.rs
+++ b/crates/bw-once/src/evidence.rs
@@ -107,6 +107,20 @@
         }
     }
 
+    /// Returns the strikes of quarantined requests, each with its endpoint and incarnation; the requests that
+    /// were suspected last come first.
+    pub fn quarantined(&self) -> impl Iterator<Item = (u64, &str, Incarnation)> {
+        let fingerprints = self.order.iter().rev().copied();
+        let quarantined = fingerprints
+            .filter(|fingerprint| self.suspicion(*fingerprint) == Suspicion::Quarantined);
+        quarantined.flat_map(|fingerprint| {
+            let strikes = self.strikes.get(&fingerprint).into_iter().flatten();
+            strikes.map(move |(endpoint, incarnation, _)| {
+                (fingerprint, endpoint.as_str(), *incarnation)
+            })
+        })
+    }
+
     /// Returns the number of fingerprints with a strike.
     pub fn len(&self) -> usize {
         self.strikes.len()
