--- a/crates/bw-expert/src/policy/mod.rs
+++ b/crates/bw-expert/src/policy/mod.rs
@@ -5,8 +5,8 @@
 //! their price, `planner` combines the three, and `baseline` holds simpler plans against which the
 //! planner is measured. For groups that share each expert evenly among its holders, `sample`
 //! estimates demand from the counts of a few ranks, whose number `reading` sets, `held` checks what the
-//! ranks say they hold, `replicas` searches for a placement, `reserve` adds holders in free places, `maps` plans all sets of a group, and
-//! `urgency` sets the gain that a new map has to bring.
+//! ranks say they hold, `replicas` searches for a placement, `reserve` adds holders in free places, `maps`
+//! plans all sets of a group, and `urgency` sets the gain that a new map has to bring.
 
 pub mod baseline;
 pub mod demand;
