--- a/review/stand_ins_2/common.rs
+++ b/review/stand_ins_2/common.rs
@@ -42,6 +42,7 @@
 
 impl Record {
     pub fn create(folder: &str) -> Self {
+        end_on_panic();
         let path = PathBuf::from(folder).join("record.txt");
         let file = fs::File::create(path).unwrap_or_else(|error| cannot_run(&error.to_string()));
         Self { start: Instant::now(), file: Arc::new(Mutex::new(file)) }
@@ -59,12 +60,25 @@
     }
 }
 
-/// Ends a case that could not run.
+/// Processes that run, with their folders.
+static RUNNING: Mutex<Vec<(u32, PathBuf)>> = Mutex::new(Vec::new());
+
+/// Ends a case that could not run, and the processes that it started.
 pub fn cannot_run(reason: &str) -> ! {
     eprintln!("the case could not run: {reason}");
+    let running = RUNNING.lock().unwrap_or_else(|error| error.into_inner());
+    for (id, folder) in running.iter() {
+        let _ = Command::new("kill").args(["-KILL", &id.to_string()]).status();
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(CANNOT_RUN)
 }
 
+/// Lets a case that panics end as one that could not run.
+fn end_on_panic() {
+    std::panic::set_hook(Box::new(|info| cannot_run(&info.to_string())));
+}
+
 // ---- HTTP ----
 
 /// Head and body of a message.
@@ -596,9 +610,23 @@
     child: Child,
 }
 
-/// Returns an address that is free now.
+/// Ports that gateways listen on; systems give ports to outgoing channels from higher ones.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+/// Next port to try, as a distance from the first one.
+static NEXT_PORT: AtomicU64 = AtomicU64::new(0);
+
+/// Returns an address whose port is free now, over TCP and UDP, and that was not returned before.
 pub fn free_address() -> SocketAddr {
-    listen().local_addr().unwrap_or_else(|error| cannot_run(&error.to_string()))
+    // Cases that run beside each other begin at different ports.
+    let first = u64::from(std::process::id()) * 97;
+    for _ in PORTS {
+        let distance = (first + NEXT_PORT.fetch_add(1, Ordering::Relaxed)) % PORTS.len() as u64;
+        let address = SocketAddr::from(([127, 0, 0, 1], PORTS.start + distance as u16));
+        if TcpListener::bind(address).is_ok() && std::net::UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+    cannot_run("no port is free")
 }
 
 /// Bounds of the sheet of Galle Disques Pressage.
@@ -643,7 +671,11 @@
         command.arg(folder.join("settings.ini")).stdin(Stdio::null());
         let other = log.try_clone().unwrap_or_else(|error| cannot_run(&error.to_string()));
         command.stdout(other).stderr(log);
-        command.spawn().unwrap_or_else(|error| cannot_run(&format!("bw-gateway: {error}")))
+        let child = command.spawn();
+        let child = child.unwrap_or_else(|error| cannot_run(&format!("bw-gateway: {error}")));
+        let running = (child.id(), folder.clone());
+        RUNNING.lock().unwrap_or_else(|error| error.into_inner()).push(running);
+        child
     }
 
     /// Sends a signal such as `-TERM`.
@@ -668,6 +700,8 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let mut running = RUNNING.lock().unwrap_or_else(|error| error.into_inner());
+        running.retain(|(id, _)| *id != self.child.id());
     }
 
     /// Starts the process again with the same settings, after it has ended.
