--- a/review/stand_ins_2/unheard.rs
+++ b/review/stand_ins_2/unheard.rs
@@ -172,6 +172,10 @@
         broken |= count as f64 > bound;
     }
     record.note(if broken { "FAILBACK is broken" } else { "FAILBACK holds" });
+    for (number, gateway) in [(1, &first), (2, &second)] {
+        let (taken, lost) = (gateway.log_lines("event=duty_taken").len(), gateway.log_lines("event=duty_lost").len());
+        record.note(&format!("gateway {number} has taken the planning duty {taken} times and lost it {lost} times"));
+    }
     drop(first);
     drop(second);
     std::process::exit(i32::from(broken));
