--- a/review/stand_ins_2/common.rs
+++ b/review/stand_ins_2/common.rs
@@ -259,6 +259,8 @@
     contents: Contents,
     era: u64,
     away: bool,
+    /// Whether a store that is away answers nothing, rather than 503.
+    silent: bool,
 }
 
 /// The platform's store. Clones share its contents.
@@ -274,7 +276,7 @@
 impl Store {
     pub fn start() -> Self {
         let listener = listen();
-        let state = StoreState { contents: Contents { revision: 7, ..Contents::default() }, era: 1, away: false };
+        let state = StoreState { contents: Contents { revision: 7, ..Contents::default() }, era: 1, away: false, silent: false };
         let store = Self {
             address: listener.local_addr().unwrap_or_else(|error| cannot_run(&error.to_string())),
             state: Arc::new((Mutex::new(state), Condvar::new())),
@@ -303,6 +305,15 @@
         self.change(|state| state.contents.put(kind, name, specification));
     }
 
+    /// Writes objects of a kind as servers do that write at the same moment.
+    pub fn put_all(&self, kind: &str, objects: &[(String, String)]) {
+        self.change(|state| {
+            for (name, specification) in objects {
+                state.contents.put(kind, name, specification);
+            }
+        });
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         self.change(|state| state.contents.remove(kind, name));
     }
@@ -317,18 +328,23 @@
         self.change(|state| state.away = true);
     }
 
+    /// Goes away: nothing is answered. What is asked meanwhile is never answered on its channel.
+    pub fn fall_silent(&self) {
+        self.change(|state| (state.away, state.silent) = (true, true));
+    }
+
     /// Comes back from a copy, in the next era.
     pub fn come_back(&self, copy: &Copy) {
         self.change(|state| {
             state.contents = copy.0.clone();
             state.era += 1;
-            state.away = false;
+            (state.away, state.silent) = (false, false);
         });
     }
 
     /// Comes back with all that it had.
     pub fn come_back_whole(&self) {
-        self.change(|state| state.away = false);
+        self.change(|state| (state.away, state.silent) = (false, false));
     }
 
     fn serve(&self, stream: TcpStream) -> std::io::Result<()> {
@@ -338,6 +354,11 @@
         while let Some(mut request) = read_head(&mut reader)? {
             read_body(&mut reader, &mut request)?;
             let (status, body) = self.answer(&request);
+            if status == 503 && self.change(|state| state.silent) {
+                // The channel stays open and hears nothing more.
+                let _ = std::io::copy(&mut reader, &mut std::io::sink());
+                return Ok(());
+            }
             let era = self.change(|state| state.era);
             let head = format!(
                 "HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n\
