Hold steps at a rank that no driver whose lease was lost may release

The only gateway is killed in a switch, its release of the held step is carried out 2.4 s late, and the store returns from a copy without its lease. Ranks ignore fencing numbers.

Cause: the rank at which a driver holds steps follows from the count of holders, which came from the lease and from news of peers. Both were gone, so that the new driver held at the rank of the old one, whose late release ended its hold. Evidence: both processes send the order to hold step 45 to rank 1, with the numbers 1 << 20 | 1 and 2 << 20 | 1. Ruled out: a version that is handed out twice (the era is in it), late arms (only the release is late).

Change: drivers read from the versions at the ranks which drivers there were. Where one of them holds at the same rank, or counts at least as many holders, or the own rank holds a step that this driver never held, the gateway acquires the lease again with a higher count. A driver has prepared its version at every rank before it arms or releases anything, so the ranks show each one whose release may be under way. Nothing new is stored or sent; a driver of the release in production is treated like any other one.

Variants of the model whose drivers share a rank now leave the check out, since drivers with it are not caught; that is a test of its own.

--- a/crates/bw-duty/src/standby.rs
+++ b/crates/bw-duty/src/standby.rs
@@ -37,6 +37,8 @@
     /// The highest number of holders received or acquired, in any era.
     holders: u64,
     held: Option<Fence>,
+    /// Whether the duty was given up only to be acquired again with a higher count of holders.
+    renews: bool,
     /// Earliest time of the next try.
     retry_at: Duration,
 }
@@ -51,6 +53,7 @@
             known: Fence(0),
             holders: 0,
             held: None,
+            renews: false,
             retry_at: Duration::ZERO,
         }
     }
@@ -73,6 +76,7 @@
                 if self.held.is_some_and(|held| held < fence) {
                     self.held = None;
                 }
+                self.renews = false;
                 if leaving {
                     self.vacant_since.get_or_insert(now);
                 }
@@ -99,7 +103,7 @@
         let silent_at = self.silent_since + (round * SILENCE_ROUNDS).clamp(least, most);
         let vacant_at = self.vacant_since.map_or(silent_at, |at| at.min(silent_at));
         let turn_at = vacant_at + POSITION_STEP.max(round) * position as u32;
-        self.held.is_none() && now >= turn_at.max(self.retry_at)
+        self.held.is_none() && (self.renews || now >= turn_at.max(self.retry_at))
     }
 
     /// Returns the fencing number for this process to acquire the duty with, given the one in the lease
@@ -118,6 +122,7 @@
         self.holders = self.holders.max(fence.holder());
         self.known = self.known.max(fence);
         self.held = Some(fence);
+        self.renews = false;
         self.holder = None;
         self.vacant_since = None;
     }
@@ -125,13 +130,24 @@
     /// Records that a try failed because another process was first.
     pub fn record_failure(&mut self, now: Duration) {
         self.silent_since = now;
+        self.renews = false;
         self.vacant_since = None;
         self.retry_at = now + RETRY_PAUSE;
     }
 
+    /// Gives up the duty to acquire it again at once with a count of holders above `holders`, which was
+    /// found where the work is done: the store has lost the leases that counted them.
+    pub fn renew(&mut self, holders: u64, now: Duration) {
+        self.holders = self.holders.max(holders);
+        self.held = None;
+        self.renews = true;
+        self.silent_since = now;
+    }
+
     /// Gives up the duty, for example when orders fail because of a higher fencing number.
     pub fn resign(&mut self, now: Duration) {
         self.held = None;
+        self.renews = false;
         self.silent_since = now;
         self.retry_at = now + COOLDOWN;
     }
--- a/crates/bw-duty/tests/standby.rs
+++ b/crates/bw-duty/tests/standby.rs
@@ -141,3 +141,22 @@
     assert!(!standby.should_try(3, round, ms(1_000 + 3 * 1_000 + 500)));
     assert!(standby.should_try(3, round, ms(1_000 + 4 * 1_000)));
 }
+
+/// The ranks of a group have versions of a holder whose lease the store has lost.
+#[test]
+fn a_duty_is_renewed_at_once_with_a_higher_count_of_holders() {
+    let mut standby = Standby::new(ms(0));
+    let first = standby.next_fence(Fence(0), 2);
+    standby.acquire(first);
+    standby.renew(6, ms(1_000));
+    assert_eq!(standby.held(), None);
+    assert!(standby.should_try(3, ROUND, ms(1_000)));
+    assert_eq!(standby.next_fence(first, 2), Fence::new(2, 7));
+    standby.acquire(Fence::new(2, 7));
+    assert_eq!(standby.held(), Some(Fence::new(2, 7)));
+    // Another process was first.
+    standby.renew(9, ms(2_000));
+    standby.observe("c", Some(Fence::new(2, 8)), false, ms(2_010));
+    assert!(!standby.should_try(0, ROUND, ms(2_010)));
+    assert_eq!(standby.next_fence(Fence::new(2, 8), 2), Fence::new(2, 10));
+}
--- a/crates/bw-expert/src/drive/driver.rs
+++ b/crates/bw-expert/src/drive/driver.rs
@@ -44,6 +44,9 @@
     Settling,
     /// Another driver has a later lease.
     Replaced,
+    /// Another driver holds steps at the same rank, since the store has lost its lease. The lease has to be
+    /// acquired again with a higher count of holders.
+    Contested,
 }
 
 /// Progress of one rank in the current phase.
@@ -86,6 +89,10 @@
     released: u64,
     /// Whether a hold or release of unknown outcome may still be carried out.
     may_linger: bool,
+    /// The highest count of holders in the versions of other drivers that at least two ranks have reported.
+    holders: u64,
+    /// Whether to check that no other driver holds steps at the same rank.
+    checks_rank: bool,
 }
 
 impl Driver {
@@ -109,9 +116,17 @@
             has_hold: false,
             released: 0,
             may_linger: false,
+            holders: 0,
+            checks_rank: true,
         }
     }
 
+    /// Leaves out the check that no other driver holds steps at the same rank, which shows a model what the
+    /// check is for.
+    pub fn without_rank_check(self) -> Self {
+        Self { checks_rank: false, ..self }
+    }
+
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
         self.phase
@@ -127,6 +142,12 @@
         self.version
     }
 
+    /// Returns the highest count of holders in the leases of other drivers, as far as the versions that the
+    /// ranks report show it.
+    pub fn known_holders(&self) -> u64 {
+        self.holders
+    }
+
     /// Returns whether the current phase, until its end, may keep the group from advancing.
     pub fn may_stall_group(&self) -> bool {
         matches!(
@@ -272,8 +293,9 @@
                     self.resume_from(&states);
                 }
             }
-            // A delayed hold of an older driver would stop the group.
-            Phase::Idle if self.is_foreign_hold(rank, &state) => self.enter(Phase::Reading),
+            // A delayed hold of another driver would stop the group.
+            Phase::Idle if self.is_foreign_hold(&state) => self.enter(Phase::Reading),
+            Phase::Idle if self.is_contested_by(&state) => self.enter(Phase::Reading),
             Phase::Settling => self.settle(rank, &state),
             _ => {}
         }
@@ -295,7 +317,9 @@
                 let held = self.held.iter().find(|(holder, _)| *holder == rank);
                 held.map(|(_, step)| Command::Release(*step))
             }
-            Phase::Reading | Phase::Idle | Phase::Settling | Phase::Replaced => None,
+            Phase::Reading | Phase::Idle | Phase::Settling | Phase::Replaced | Phase::Contested => {
+                None
+            }
         }
     }
 
@@ -346,8 +370,12 @@
                 self.held.clear();
                 self.enter(if self.may_linger { Phase::Settling } else { Phase::Idle });
             }
-            Phase::Preparing | Phase::Reading | Phase::Idle | Phase::Settling | Phase::Replaced => {
-            }
+            Phase::Preparing
+            | Phase::Reading
+            | Phase::Idle
+            | Phase::Settling
+            | Phase::Replaced
+            | Phase::Contested => {}
         }
     }
 
@@ -399,10 +427,15 @@
         }
     }
 
-    /// Returns whether a report shows a step that another driver holds in this incarnation.
-    fn is_foreign_hold(&self, rank: u16, state: &RankState) -> bool {
-        let foreign = rank != self.tenure.hold_rank() && Some(state.epoch) == self.epoch;
-        foreign && state.held.is_some()
+    /// Returns whether a report that arrives while this driver holds no step shows a held one in this
+    /// incarnation.
+    fn is_foreign_hold(&self, state: &RankState) -> bool {
+        Some(state.epoch) == self.epoch && state.held.is_some()
+    }
+
+    /// Returns whether a report shows a version of another driver that holds steps at the same rank.
+    fn is_contested_by(&self, state: &RankState) -> bool {
+        self.checks_rank && Some(state.epoch) == self.epoch && self.shares_rank(state)
     }
 
     /// Ends the settling when the step has started, after which delayed commands for it fail.
@@ -438,7 +471,15 @@
             self.step = 0;
             self.released = 0;
         }
-        if self.is_replaced(states) {
+        if self.has_newer_version(states) {
+            self.phase = Phase::Replaced;
+            return;
+        }
+        if self.checks_rank && self.is_contested(states) {
+            self.phase = Phase::Contested;
+            return;
+        }
+        if self.has_newer_hold(states) {
             self.phase = Phase::Replaced;
             return;
         }
@@ -494,22 +535,55 @@
         }
     }
 
-    /// Returns whether the reports show a version or a hold of a newer driver.
-    fn is_replaced(&self, states: &[RankState]) -> bool {
-        states.iter().enumerate().any(|(rank, state)| {
-            let armed = state.armed.map(|(version, _)| version);
-            let versions = [Some(state.map), state.prepared, armed];
-            let newer_version = versions
-                .into_iter()
-                .flatten()
-                .any(|version| self.tenure.version_owner(version) == Owner::Newer);
-            let newer_hold =
-                state.held.is_some() && self.tenure.hold_owner(rank as u16) == Owner::Newer;
-            newer_version || newer_hold
-        })
+    /// Returns whether the reports show a version of a newer driver.
+    fn has_newer_version(&self, states: &[RankState]) -> bool {
+        let newer = |version| self.tenure.version_owner(version) == Owner::Newer;
+        states.iter().flat_map(versions).any(newer)
+    }
+
+    /// Returns whether the reports show a hold of a newer driver.
+    fn has_newer_hold(&self, states: &[RankState]) -> bool {
+        let newer = |rank: usize| self.tenure.hold_owner(rank as u16) == Owner::Newer;
+        states.iter().enumerate().any(|(rank, state)| state.held.is_some() && newer(rank))
+    }
+
+    /// Records the counts of holders that the reports show, and returns whether another driver holds steps
+    /// at this driver's rank, or counts at least as many holders as this one.
+    ///
+    /// A driver has prepared its version at every rank before it arms or releases anything, so reports of all
+    /// ranks show each driver whose release may still be under way. A single rank's report does not raise
+    /// the count, since it may be wrong.
+    fn is_contested(&mut self, states: &[RankState]) -> bool {
+        let mut holders: Vec<u64> =
+            states.iter().filter_map(|state| self.other_holders(state).max()).collect();
+        holders.sort_unstable();
+        let confirmed = holders.iter().rev().nth(1).copied().unwrap_or_default();
+        self.holders = self.holders.max(confirmed);
+        let own = usize::from(self.tenure.hold_rank());
+        let held = states.get(own).and_then(|state| state.held);
+        let foreign_hold = held.is_some_and(|step| !self.has_hold && step != self.step);
+        foreign_hold
+            || !self.tenure.follows(confirmed)
+            || states.iter().any(|state| self.shares_rank(state))
+    }
+
+    /// Returns whether a rank has a version of another driver that holds steps at the same rank.
+    fn shares_rank(&self, state: &RankState) -> bool {
+        self.other_holders(state).any(|holder| self.tenure.shares_rank(holder))
+    }
+
+    /// Returns the counts of holders in the versions of other drivers that a rank has.
+    fn other_holders<'a>(&'a self, state: &'a RankState) -> impl Iterator<Item = u64> + 'a {
+        versions(state).filter_map(|version| self.tenure.other_holder(version))
     }
 }
 
+/// Returns the map versions that a rank has.
+fn versions(state: &RankState) -> impl Iterator<Item = MapVersion> {
+    let armed = state.armed.map(|(version, _)| version);
+    [Some(state.map), state.prepared, armed].into_iter().flatten()
+}
+
 /// Returns whether all ranks are armed with the same version for the same step.
 fn is_armed_alike(states: &[RankState]) -> bool {
     states[0].armed.is_some() && states.iter().all(|state| state.armed == states[0].armed)
--- a/crates/bw-expert/src/drive/tenure.rs
+++ b/crates/bw-expert/src/drive/tenure.rs
@@ -60,7 +60,29 @@
 
     /// Returns the rank at which this driver holds steps.
     pub fn hold_rank(&self) -> u16 {
-        (self.lease.holder() % u64::from(self.ranks.max(1))) as u16
+        self.rank_of(self.lease.holder())
+    }
+
+    /// Returns the count of holders in the lease under which another driver issued a version; `None` for
+    /// versions of this driver and for the first map of a group.
+    pub fn other_holder(&self, version: MapVersion) -> Option<u64> {
+        let lease = Fence(version.0 >> VERSION_BITS);
+        (lease.0 != 0 && lease != self.lease).then(|| lease.holder())
+    }
+
+    /// Returns whether the driver with this count of holders holds steps at the same rank as this one.
+    pub fn shares_rank(&self, holder: u64) -> bool {
+        self.rank_of(holder) == self.hold_rank()
+    }
+
+    /// Returns whether this driver's count of holders is above another one's, which tells the holds of
+    /// older drivers from those of newer ones.
+    pub fn follows(&self, holder: u64) -> bool {
+        self.lease.holder() > holder
+    }
+
+    fn rank_of(&self, holder: u64) -> u16 {
+        (holder % u64::from(self.ranks.max(1))) as u16
     }
 
     /// Returns the driver that holds steps at a rank: the nearest one, older or newer, by the order
--- a/crates/bw-explore/src/drive.rs
+++ b/crates/bw-explore/src/drive.rs
@@ -41,6 +41,11 @@
     const RESTORES: bool = false;
     /// Whether the store never hands the number of a lease out again.
     const UNIQUE_LEASES: bool = true;
+    /// Whether the store has lost all earlier leases whenever a driver acquires its own, so that the count
+    /// of holders starts again.
+    const LOSES_LEASES: bool = false;
+    /// Whether drivers check that no other driver holds steps at their rank.
+    const CHECKS_RANK: bool = true;
 }
 
 /// Ranks that follow the published rules and ignore fencing numbers.
@@ -89,12 +94,21 @@
     const ARMS_PREPARED: bool = false;
 }
 
-/// Drivers that all hold steps at the same rank.
+/// Drivers that all hold steps at the same rank and do not check that.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct SharedRank;
 
 impl DriveRules for SharedRank {
     const OWN_RANKS: bool = false;
+    const CHECKS_RANK: bool = false;
+}
+
+/// Drivers whose leases all give them the same rank to hold steps at.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct CheckedSharedRank;
+
+impl DriveRules for CheckedSharedRank {
+    const OWN_RANKS: bool = false;
 }
 
 /// Drivers that cancel a switch without a hold of their own.
@@ -129,6 +143,32 @@
     const UNIQUE_LEASES: bool = false;
 }
 
+/// A store that has lost all leases before each takeover, and drivers that have heard of no other.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct LostLeases;
+
+impl DriveRules for LostLeases {
+    const LOSES_LEASES: bool = true;
+}
+
+/// The same where ranks enforce fencing numbers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct FencedLostLeases;
+
+impl DriveRules for FencedLostLeases {
+    const CHECKS_FENCE: bool = true;
+    const LOSES_LEASES: bool = true;
+}
+
+/// The same with drivers that do not check whether another driver holds steps at their rank.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct UncheckedLostLeases;
+
+impl DriveRules for UncheckedLostLeases {
+    const LOSES_LEASES: bool = true;
+    const CHECKS_RANK: bool = false;
+}
+
 /// Number of times that each fault or action may still happen, which bounds the state space.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Faults {
@@ -170,6 +210,8 @@
 pub struct DriveModel<R> {
     ranks: Vec<RankModel>,
     drivers: Vec<Driver>,
+    /// The lease of each driver.
+    leases: Vec<Fence>,
     /// For each driver, the rank whose report it reads next.
     next_reads: Vec<u16>,
     in_flight: Vec<SentCommand>,
@@ -192,6 +234,7 @@
         let mut model = Self {
             ranks: vec![rank; usize::from(count)],
             drivers: Vec::new(),
+            leases: Vec::new(),
             next_reads: Vec::new(),
             in_flight: Vec::new(),
             step: 1,
@@ -211,13 +254,33 @@
         let holder = stride * (self.drivers.len() as u64 + 1);
         let lease = match (R::UNIQUE_LEASES, R::RESTORES) {
             (false, _) => Fence::new(1, 1),
+            (true, _) if R::LOSES_LEASES => Fence::new(holder, 1),
             (true, false) => Fence::new(1, holder),
             (true, true) => Fence::new(holder, holder),
         };
-        self.drivers.push(Driver::new(count, lease));
+        self.drivers.push(Self::driver(count, lease));
+        self.leases.push(lease);
         self.next_reads.push(0);
     }
 
+    fn driver(count: u16, lease: Fence) -> Driver {
+        let driver = Driver::new(count, lease);
+        if R::CHECKS_RANK {
+            driver
+        } else {
+            driver.without_rank_check()
+        }
+    }
+
+    /// Replaces a driver whose rank is contested by one with the next lease of the same era.
+    fn renew_lease(&mut self, index: usize) {
+        let (lease, known) = (self.leases[index], self.drivers[index].known_holders());
+        let renewed = Fence::new(lease.era(), lease.holder().max(known) + 1);
+        self.leases[index] = renewed;
+        self.drivers[index] = Self::driver(self.ranks.len() as u16, renewed);
+        self.next_reads[index] = 0;
+    }
+
     /// Returns true if all ranks use a map other than the first.
     pub fn has_switched(&self) -> bool {
         self.ranks.iter().all(|rank| rank.state.map > MapVersion(0))
@@ -433,6 +496,12 @@
     fn driver_transitions(&self, next: &mut Vec<Self>) {
         for index in 0..self.drivers.len() {
             let driver = &self.drivers[index];
+            if driver.phase() == Phase::Contested {
+                let mut model = self.clone();
+                model.renew_lease(index);
+                next.push(model);
+                continue;
+            }
             if driver.phase() == Phase::Reading {
                 self.reading_transition(index, next);
             } else {
--- a/crates/bw-explore/tests/drive.rs
+++ b/crates/bw-explore/tests/drive.rs
@@ -5,10 +5,13 @@
 
 use bw_explore::drive::AnyArm;
 use bw_explore::drive::AnyVersion;
+use bw_explore::drive::CheckedSharedRank;
 use bw_explore::drive::DriveModel;
 use bw_explore::drive::DriveRules;
 use bw_explore::drive::Faults;
 use bw_explore::drive::Fenced;
+use bw_explore::drive::FencedLostLeases;
+use bw_explore::drive::LostLeases;
 use bw_explore::drive::NoClaim;
 use bw_explore::drive::NoHold;
 use bw_explore::drive::NoSuperseding;
@@ -16,6 +19,7 @@
 use bw_explore::drive::Restored;
 use bw_explore::drive::ReusedLease;
 use bw_explore::drive::SharedRank;
+use bw_explore::drive::UncheckedLostLeases;
 use bw_explore::drive::Unfenced;
 use bw_explore::explore;
 use bw_explore::search::walk_end;
@@ -168,3 +172,38 @@
 fn drivers_that_acquire_their_leases_in_different_eras_of_the_store_mix_no_maps() {
     explore_mixed_faults::<Restored>();
 }
+
+/// The store returns without the lease of a driver whose release is still under way. A new driver that has
+/// heard of nobody starts to count the holders again and would hold at the same rank.
+#[test]
+fn drivers_whose_leases_the_store_has_lost_mix_no_maps() {
+    explore_mixed_faults::<LostLeases>();
+    explore_mixed_faults::<FencedLostLeases>();
+    walk_mixed_faults::<LostLeases>(3);
+    walk_mixed_faults::<LostLeases>(5);
+}
+
+#[test]
+fn drivers_that_do_not_check_their_rank_after_a_loss_are_caught() {
+    assert!(is_caught::<UncheckedLostLeases>(TAKEOVER));
+}
+
+/// Counts of holders repeat after as many leases as the group has ranks.
+#[test]
+fn drivers_that_find_their_rank_in_use_mix_no_maps() {
+    explore_mixed_faults::<CheckedSharedRank>();
+    walk_mixed_faults::<CheckedSharedRank>(3);
+}
+
+/// Walks with several takeovers and late commands.
+fn walk_mixed_faults<R>(ranks: u16)
+where
+    R: DriveRules + std::fmt::Debug,
+{
+    let faults = Faults { timeouts: 4, takeovers: 2, restarts: 0, steps: 6, switches: 3 };
+    for seed in 0..10_000 {
+        let path = walk(DriveModel::<R>::new(ranks, faults), seed, 400);
+        let violation = path.as_ref().and_then(|path| path.last()?.violation());
+        assert_eq!(violation, None, "seed {seed}: {path:#?}");
+    }
+}
--- a/crates/bw-gateway/src/peers/mod.rs
+++ b/crates/bw-gateway/src/peers/mod.rs
@@ -219,6 +219,11 @@
         self.lock().duty.resign(now);
     }
 
+    /// Releases the planning duty to acquire it again with a count of holders above `holders`.
+    pub fn renew_duty(&self, holders: u64, now: Duration) {
+        self.lock().duty.renew(holders, now);
+    }
+
     /// Returns the fencing number of the planning duty while this gateway holds it.
     pub fn duty(&self) -> Option<Fence> {
         self.lock().duty.held()
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -82,6 +82,8 @@
     pub async fn run(self, mut stop: Stop) -> Result<(), Infallible> {
         let client = Client::new();
         let mut groups: BTreeMap<String, Group> = BTreeMap::new();
+        // The fencing number with which the drivers of `groups` were created.
+        let mut driven = None;
         let mut calls = FuturesUnordered::new();
         let mut tick = tokio::time::interval(TICK_INTERVAL);
         tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -89,9 +91,12 @@
             tokio::select! {
                 _ = tick.tick() => {
                     self.try_acquire_duty().await;
-                    match self.peers.duty() {
-                        Some(fence) => self.update_groups(&mut groups, fence),
-                        None => groups.clear(),
+                    if self.peers.duty() != driven {
+                        driven = self.peers.duty();
+                        groups.clear();
+                    }
+                    if let Some(fence) = driven {
+                        self.update_groups(&mut groups, fence);
                     }
                     self.report_paces(&groups);
                 }
@@ -301,9 +306,21 @@
         if group.driver.phase() != group.phase {
             self.metrics.record_switch(phase_label(group.driver.phase()));
             group.enter_phase(now);
-            if group.phase == Phase::Replaced {
-                info!("event=duty_lost duty={LEASE_NAME} group={}", group.view.name);
-                self.peers.resign_duty(now);
+            match group.phase {
+                Phase::Replaced => {
+                    info!("event=duty_lost duty={LEASE_NAME} group={}", group.view.name);
+                    self.peers.resign_duty(now);
+                }
+                Phase::Contested => {
+                    let holders = group.driver.known_holders();
+                    warn!(
+                        "event=duty_contested duty={LEASE_NAME} group={} holders={holders} \
+                         reason=\"the store has lost an earlier lease\"",
+                        group.view.name
+                    );
+                    self.peers.renew_duty(holders, now);
+                }
+                _ => {}
             }
         }
     }
@@ -393,5 +410,6 @@
         Phase::Releasing => "releasing",
         Phase::Settling => "settling",
         Phase::Replaced => "replaced",
+        Phase::Contested => "contested",
     }
 }
--- a/crates/bw-gateway/tests/planner.rs
+++ b/crates/bw-gateway/tests/planner.rs
@@ -27,12 +27,14 @@
 use bw_direct::endpoint::Phase;
 use bw_expert::drive::Command;
 use bw_expert::drive::RankState;
+use bw_expert::drive::Tenure;
 use bw_expert::policy::replicas::Placement;
 use bw_expert::policy::replicas::RankExperts;
 use bw_fake::endpoint::Behaviour;
 use bw_http::json_reply;
 use bw_http::text_reply;
 use bw_kernel::Stop;
+use bw_model::Fence;
 use bw_model::MapVersion;
 use tokio::sync::watch;
 use viz::Request;
@@ -60,6 +62,11 @@
     spoiled: u32,
     /// Maps that ranks were told to prepare.
     prepared: Vec<Vec<Placement>>,
+    /// A switch of another driver: the version that all ranks are armed with, the first step that uses it,
+    /// and the rank that holds this step.
+    switch: Option<(MapVersion, u64, u16)>,
+    /// Ranks that were told to hold a step.
+    holds: Vec<u16>,
 }
 
 #[derive(Clone, Default)]
@@ -92,8 +99,18 @@
         let mut state = self.0.lock().unwrap();
         match path {
             REPORT_PATH => {
-                let state =
-                    RankState { epoch: 1, open: true, step: 9, map: MAP, ..RankState::default() };
+                let version = state.switch.map(|(version, _, _)| version);
+                let step = state.switch.map(|(_, step, _)| step);
+                let holder = state.switch.map(|(_, _, holder)| holder);
+                let state = RankState {
+                    epoch: 1,
+                    open: true,
+                    step: 9,
+                    map: MAP,
+                    prepared: version,
+                    armed: version.zip(step),
+                    held: step.filter(|_| holder == Some(rank)),
+                };
                 let report = RankReport { pace: 1.0, state };
                 json_reply(StatusCode::OK, &encode_report("g", rank, RANKS, &report))
             }
@@ -105,8 +122,10 @@
             }
             ORDER_PATH => {
                 if let Some((order, map)) = decode_order(rank, body) {
-                    if matches!(order.command, Command::Prepare(_)) {
-                        state.prepared.push(map);
+                    match order.command {
+                        Command::Prepare(_) => state.prepared.push(map),
+                        Command::Hold(_) => state.holds.push(order.rank),
+                        _ => {}
                     }
                 }
                 text_reply(StatusCode::OK, String::new())
@@ -158,13 +177,10 @@
     draft
 }
 
-/// Guards against a gateway that ends because one digit in a rank's list of held experts is wrong.
-#[tokio::test]
-async fn a_spoiled_list_of_held_experts_is_read_again() {
+/// Starts a gateway with a group whose ranks share `group`; the senders end the ranks.
+async fn start_group(group: &FakeGroup) -> (Rig, Vec<watch::Sender<bool>>) {
     let rig =
         Rig::start_with(&[Behaviour::Answer(200, "fine".to_string())], draft_with_model()).await;
-    let group = FakeGroup::default();
-    group.0.lock().unwrap().spoiled = 1;
     let mut ranks = Vec::new();
     for rank in 0..RANKS {
         let (address, stop) = group.start_rank(rank).await;
@@ -188,15 +204,49 @@
         rig.platform.change(|objects| objects.create(listing_object(&endpoint))).unwrap();
         ranks.push(stop);
     }
-    let prepared = async {
-        while group.0.lock().unwrap().prepared.is_empty() {
+    (rig, ranks)
+}
+
+/// Waits until the group's state meets a condition, at most 30 s.
+async fn wait_until<C>(group: &FakeGroup, condition: C)
+where
+    C: Fn(&GroupState) -> bool,
+{
+    let met = async {
+        while !condition(&group.0.lock().unwrap()) {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
+    let _elapsed = tokio::time::timeout(Duration::from_secs(30), met).await;
+}
+
+/// Guards against a gateway that ends because one digit in a rank's list of held experts is wrong.
+#[tokio::test]
+async fn a_spoiled_list_of_held_experts_is_read_again() {
+    let group = FakeGroup::default();
+    group.0.lock().unwrap().spoiled = 1;
+    let (rig, _ranks) = start_group(&group).await;
     // A planner that has ended prepares nothing, and its error shows at the stop.
-    let _elapsed = tokio::time::timeout(Duration::from_secs(30), prepared).await;
+    wait_until(&group, |state| !state.prepared.is_empty()).await;
     rig.stop().await;
     let state = group.0.lock().unwrap();
     assert_eq!(state.spoiled, 0);
     assert!(state.prepared[0][0].ranks.iter().flatten().all(|expert| *expert < EXPERTS as u16));
 }
+
+/// Guards against two planners that hold a step at one rank after the store has lost the first one's lease: the
+/// first one's release may still be carried out, and would end the hold of the second one.
+#[tokio::test]
+async fn a_planner_does_not_hold_at_the_rank_of_one_whose_lease_was_lost() {
+    const LOST_HOLDER: u64 = 1;
+    let lost = Fence::new(0, LOST_HOLDER);
+    let version = Tenure::new(lost, RANKS).issue_version();
+    let group = FakeGroup::default();
+    group.0.lock().unwrap().switch = Some((version, 20, LOST_HOLDER as u16));
+    let (rig, _ranks) = start_group(&group).await;
+    wait_until(&group, |state| !state.holds.is_empty()).await;
+    rig.stop().await;
+    let state = group.0.lock().unwrap();
+    assert_eq!(state.holds.first(), Some(&2));
+    assert!(!state.holds.contains(&1), "{:?}", state.holds);
+}
