Keep quarantined requests in the store, so that they outlive all gateways

Callers saw: orders lost with endpoints that one request crashes again and again.

Cause: evidence against single requests was in memory only. Ruled out: news lost before the kill (both gateways refused the request), another fingerprint.

Change: the quarantine of a request is kept in the store with its crashes, like those of parts of prompts, and read at the start. Gateways that see the last crash write it at once, otherwise the first three candidates for the planning duty do. A new era of the store makes gateways write all again. It ends ten minutes after the last crash, and one more crash starts it again; until now it never ended. bw-entry does the same, but for the new era.

Before: hostile.rs, two tests fail on (502 instead of 503, and no record in the store). Left: evidence that no gateway could write before it was killed, and one or two strikes, are lost with all gateways.

--- a/crates/bw-entry/src/link.rs
+++ b/crates/bw-entry/src/link.rs
@@ -73,7 +73,7 @@
             }
             EntryRequest::Crashes(crashes) => {
                 let evidence = self.evidence.clone();
-                tokio::spawn(async move { evidence.record(crashes).await });
+                tokio::spawn(async move { evidence.receive(crashes).await });
                 EntryReply::Done
             }
             EntryRequest::Swap { key, expect, claim } => {
--- a/crates/bw-entry/src/main.rs
+++ b/crates/bw-entry/src/main.rs
@@ -33,6 +33,7 @@
 use bw_platform::claims::ClaimStore;
 use bw_platform::Budget;
 use bw_platform::ConfigStore;
+use bw_platform::Quarantines;
 use bw_platform::Store;
 use tokio::time::Instant;
 
@@ -123,6 +124,9 @@
         decisions: services.decisions.clone(),
     };
     kernel.start("planner", |stop| planner.run(stop));
+    let quarantines = Quarantines::new(kernel.registry.find("platform")?);
+    let evidence = services.evidence.clone();
+    kernel.start("quarantines", |stop| evidence.keep(quarantines, stop));
     let (live, file, signals) = (services.settings.clone(), path.to_path_buf(), kernel.reloads());
     let apply = move |next: &Settings| reload(&live, next);
     kernel.start("settings", |stop| live::follow_file(file, parse_settings, apply, signals, stop));
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -16,6 +16,7 @@
 use bw_model::Incarnation;
 use bw_model::Version;
 use bw_platform::Budget;
+use bw_platform::Quarantines;
 use bw_platform::Store;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -131,7 +132,13 @@
         settings: live.clone(),
     };
     let evacuations = EvacuationSync { sync: sync.clone(), waiting: waiting.clone() };
-    let keeper = QuarantineKeeper { store: store.clone(), suspects: suspects.clone() };
+    let keeper = QuarantineKeeper {
+        store: Quarantines::new(store.clone()),
+        suspects: suspects.clone(),
+        config: config.clone(),
+        peers: peers.clone(),
+        clock,
+    };
     let planner = PlanService {
         instance: settings.instance.to_string(),
         store,
--- a/crates/bw-gateway/src/config.rs
+++ b/crates/bw-gateway/src/config.rs
@@ -12,6 +12,7 @@
 use bw_model::Version;
 use log::info;
 use rand::Rng;
+use tokio::sync::watch;
 use tokio::sync::Notify;
 
 use crate::reload::LiveSettings;
@@ -31,7 +32,7 @@
     /// Time up to which every accepted change is known to be in force at this gateway.
     proof: Option<Duration>,
     /// Highest era of the store that was seen; `None` before the first one.
-    era: Option<u64>,
+    era: watch::Sender<Option<u64>>,
     /// Time before which the store's configuration proves nothing, since an era has begun.
     settled_at: Duration,
     /// A peer that has a higher version.
@@ -63,7 +64,7 @@
             catalog: None,
             listed: Version(0),
             proof: None,
-            era: None,
+            era: watch::Sender::new(None),
             settled_at: Duration::ZERO,
             ahead: None,
             missing: VecDeque::new(),
@@ -131,8 +132,10 @@
     /// era. The era that a process sees first may have begun at any time.
     pub fn observe_era(&self, era: u64, source: &str, now: Duration) {
         let mut state = self.lock();
-        let before = state.era;
-        state.era = before.max(Some(era));
+        let before = *state.era.borrow();
+        if before < Some(era) {
+            state.era.send_replace(Some(era));
+        }
         let Some(before) = before else { return };
         if era > before {
             state.settled_at = now + RESTORE_GRACE;
@@ -149,7 +152,20 @@
 
     /// Returns the highest era of the store that was seen; 0 before the first one.
     pub fn era(&self) -> u64 {
-        self.lock().era.unwrap_or(0)
+        self.lock().era.borrow().unwrap_or(0)
+    }
+
+    /// Waits until a later era of the store than `known` has been seen, and returns it.
+    pub async fn later_era(&self, known: u64) -> u64 {
+        let mut eras = self.lock().era.subscribe();
+        loop {
+            let seen = *eras.borrow_and_update();
+            match seen {
+                Some(era) if era > known => return era,
+                // The configuration has the sender.
+                _ => drop(eras.changed().await),
+            }
+        }
     }
 
     /// Returns whether the store itself has shown the configuration in force, or a newer one.
--- a/crates/bw-gateway/src/peers/mod.rs
+++ b/crates/bw-gateway/src/peers/mod.rs
@@ -197,6 +197,14 @@
         state.duty.should_try(position, round, now)
     }
 
+    /// Returns whether this gateway is among the first in the order of candidates for the planning duty, which
+    /// also write what all gateways know.
+    pub fn is_watcher(&self, now: Duration) -> bool {
+        let state = self.lock();
+        let own = self.address.instance.as_str();
+        state.candidates(own, now).into_iter().take(WATCHERS).any(|instance| instance == own)
+    }
+
     /// Returns the fencing number to acquire the planning duty with, given the one in the lease and the
     /// era of the store in which the lease was read.
     pub fn next_duty(&self, lease: Fence, era: u64) -> Fence {
--- a/crates/bw-gateway/src/suspects.rs
+++ b/crates/bw-gateway/src/suspects.rs
@@ -25,6 +25,8 @@
 use bw_once::Crash;
 use bw_once::Evidence;
 use bw_once::PartEvidence;
+use bw_platform::Quarantine;
+use bw_platform::Subject;
 use log::info;
 use log::warn;
 use tokio::net::TcpStream;
@@ -81,10 +83,12 @@
     crashed: VecDeque<(Duration, CrashNews)>,
     /// Parts against which the evidence was dropped, as above.
     cleared: VecDeque<(Duration, u64)>,
-    /// Quarantined parts that the store is known to have.
-    stored: HashSet<u64>,
-    /// Parts whose quarantine has ended, and that the store may still have.
-    ended: Vec<u64>,
+    /// Quarantines that the store is known to have.
+    stored: HashSet<Subject>,
+    /// Quarantined requests of which this gateway has seen the last crash itself.
+    witnessed: HashSet<u64>,
+    /// Quarantines that have ended, and that the store may still have.
+    ended: Vec<Subject>,
     /// Time until which the news list what is quarantined.
     announce_until: Duration,
 }
@@ -109,6 +113,7 @@
             crashed: VecDeque::new(),
             cleared: VecDeque::new(),
             stored: HashSet::new(),
+            witnessed: HashSet::new(),
             ended: Vec::new(),
             announce_until: Duration::ZERO,
         };
@@ -140,8 +145,7 @@
     /// sent.
     pub fn is_quarantined(&self, fingerprint: u64, parts: &[u64]) -> bool {
         let state = self.lock();
-        state.evidence.suspicion(fingerprint) == Suspicion::Quarantined
-            || state.parts.quarantined(parts).is_some()
+        state.is_quarantined(fingerprint) || state.parts.quarantined(parts).is_some()
     }
 
     /// Removes the evidence against a request that was answered completely, unless the request is
@@ -191,9 +195,14 @@
 
     /// Records the crashes that a peer reported.
     pub fn receive(&self, news: &[SuspectNews]) {
+        let now = self.clock.now();
         let mut state = self.lock();
+        let mut quarantined = false;
         for suspect in news {
-            state.evidence.record(&to_crash(suspect));
+            quarantined |= state.record_strike(suspect, "peer", now);
+        }
+        if quarantined {
+            self.changed.notify_one();
         }
     }
 
@@ -205,7 +214,7 @@
             state.parts.record_crash(&to_crashed(crash), now);
         }
         for part in &news.cleared {
-            state.stored.remove(part);
+            state.stored.remove(&Subject::Part(*part));
             state.parts.clear(*part);
         }
         for quarantine in &news.quarantined {
@@ -215,7 +224,7 @@
                 continue;
             }
             if quarantine.stored {
-                state.stored.insert(part);
+                state.stored.insert(Subject::Part(part));
             }
             if state.parts.adopt(part, now) {
                 warn!("event=part_quarantined part={part:016x} reason=peer");
@@ -224,14 +233,25 @@
         }
     }
 
-    /// Quarantines a part that the store lists as quarantined.
-    pub fn restore(&self, part: u64) {
+    /// Quarantines what the store lists as quarantined.
+    pub fn restore(&self, quarantine: &Quarantine) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.stored.insert(part);
-        if state.parts.adopt(part, now) {
-            warn!("event=part_quarantined part={part:016x} reason=store");
-            self.changed.notify_one();
+        state.stored.insert(quarantine.subject());
+        match quarantine {
+            Quarantine::Part { part } => {
+                if state.parts.adopt(*part, now) {
+                    warn!("event=part_quarantined part={part:016x} reason=store");
+                    self.changed.notify_one();
+                }
+            }
+            Quarantine::Request { request, crashes } => {
+                let known = state.is_quarantined(*request);
+                state.evidence.restore(*request, crashes, now);
+                if !known && state.is_quarantined(*request) {
+                    warn!("event=request_quarantined fingerprint={request:016x} reason=store");
+                }
+            }
         }
     }
 
@@ -240,35 +260,58 @@
         self.changed.notified().await;
     }
 
-    /// Returns the quarantined parts that the store is not known to have.
-    pub fn unstored(&self) -> Vec<u64> {
+    /// Returns the quarantined requests whose last crash this gateway has seen itself, and that the store is not
+    /// known to have. The gateways may all be killed soon after such a crash, so that it is written at once.
+    pub fn urgent(&self) -> Vec<Quarantine> {
         let state = self.lock();
-        state.parts.quarantined_parts().filter(|part| !state.stored.contains(part)).collect()
+        let requests = state.witnessed.iter().copied();
+        requests.filter_map(|request| state.unstored_request(request)).collect()
     }
 
-    /// Records that the store has the quarantine of a part, and announces it to the peers.
-    pub fn record_stored(&self, part: u64) {
+    /// Returns the quarantines that the store is not known to have; those of requests only if `with_requests`.
+    pub fn unstored(&self, with_requests: bool) -> Vec<Quarantine> {
+        let state = self.lock();
+        let parts = state.parts.quarantined_parts().map(|part| Quarantine::Part { part });
+        let parts = parts.filter(|quarantine| !state.stored.contains(&quarantine.subject()));
+        let requests = state.evidence.quarantined().filter(|_| with_requests);
+        parts.chain(requests.filter_map(|request| state.unstored_request(request))).collect()
+    }
+
+    /// Records that the store has a quarantine, and announces it to the peers if it is that of a part.
+    pub fn record_stored(&self, subject: Subject) {
         let mut state = self.lock();
-        state.stored.insert(part);
-        state.announce_until = self.clock.now() + NEWS_DURATION;
+        state.stored.insert(subject);
+        if matches!(subject, Subject::Part(_)) {
+            state.announce_until = self.clock.now() + NEWS_DURATION;
+        }
+    }
+
+    /// Records that the store may have lost all quarantines, since it has returned from an older copy.
+    pub fn forget_stored(&self) {
+        self.lock().stored.clear();
     }
 
-    /// Ends the quarantines that have lasted long enough. Returns the parts, also of quarantines that
-    /// have ended otherwise, that the store may still have.
-    pub fn take_ended(&self) -> Vec<u64> {
+    /// Ends the quarantines that have lasted long enough. Returns what the store may still have of these and
+    /// of quarantines that have ended otherwise.
+    pub fn take_ended(&self) -> Vec<Subject> {
+        let now = self.clock.now();
         let mut state = self.lock();
-        for part in state.parts.expire(self.clock.now()) {
+        for part in state.parts.expire(now) {
             info!("event=part_released part={part:016x}");
-            if state.stored.remove(&part) {
-                state.ended.push(part);
-            }
+            state.end(Subject::Part(part));
+        }
+        for request in state.evidence.expire(now) {
+            info!("event=request_released fingerprint={request:016x}");
+            state.witnessed.remove(&request);
+            state.end(Subject::Request(request));
         }
         std::mem::take(&mut state.ended)
     }
 
     /// Returns the time until the next quarantine ends.
     pub fn next_expiry(&self) -> Option<Duration> {
-        let at = self.lock().parts.next_expiry()?;
+        let state = self.lock();
+        let at = state.parts.next_expiry().into_iter().chain(state.evidence.next_expiry()).min()?;
         Some(at.saturating_sub(self.clock.now()))
     }
 
@@ -286,10 +329,12 @@
         let recent = state.recent.iter().rev().map(|(_, suspect)| suspect.clone());
         let announced = now < state.announce_until;
         let known = state.evidence.quarantined().filter(|_| announced);
-        let known = known.map(|(fingerprint, endpoint, incarnation)| SuspectNews {
-            endpoint: endpoint.to_string(),
-            born: incarnation.0,
-            fingerprint,
+        let known = known.flat_map(|fingerprint| {
+            state.evidence.crashes(fingerprint).iter().map(move |crash| SuspectNews {
+                endpoint: crash.endpoint.clone(),
+                born: crash.incarnation.0,
+                fingerprint,
+            })
         });
         recent.chain(known).take(NEWS_MAX).collect()
     }
@@ -308,7 +353,10 @@
             crashes: crashes.map(|(_, crash)| crash.clone()).collect(),
             cleared: cleared.map(|(_, part)| *part).collect(),
             quarantined: quarantined
-                .map(|part| QuarantineNews { part, stored: state.stored.contains(&part) })
+                .map(|part| {
+                    let stored = state.stored.contains(&Subject::Part(part));
+                    QuarantineNews { part, stored }
+                })
                 .collect(),
         }
     }
@@ -338,7 +386,10 @@
                 born: *born,
                 fingerprint: request.fingerprint,
             };
-            state.evidence.record(&to_crash(&suspect));
+            if state.record_strike(&suspect, "crashes", now) {
+                state.witnessed.insert(request.fingerprint);
+                self.changed.notify_one();
+            }
             state.recent.push_back((now, suspect));
             // A gateway that is cut off loses many endpoints at once, whatever runs there.
             if check == Check::Refuses && !request.parts.is_empty() {
@@ -359,11 +410,40 @@
 }
 
 impl State {
+    fn is_quarantined(&self, fingerprint: u64) -> bool {
+        self.evidence.suspicion(fingerprint) == Suspicion::Quarantined
+    }
+
+    /// Records that a request was in flight at a crash. Returns whether it is quarantined for that.
+    fn record_strike(&mut self, suspect: &SuspectNews, reason: &str, now: Duration) -> bool {
+        let fingerprint = suspect.fingerprint;
+        let known = self.is_quarantined(fingerprint);
+        self.evidence.record(&to_crash(suspect), now);
+        let quarantined = !known && self.is_quarantined(fingerprint);
+        if quarantined {
+            warn!("event=request_quarantined fingerprint={fingerprint:016x} reason={reason}");
+        }
+        quarantined
+    }
+
+    /// Returns the quarantine of a request that the store is not known to have.
+    fn unstored_request(&self, request: u64) -> Option<Quarantine> {
+        let wanted =
+            self.is_quarantined(request) && !self.stored.contains(&Subject::Request(request));
+        let crashes = || self.evidence.crashes(request).to_vec();
+        wanted.then(|| Quarantine::Request { request, crashes: crashes() })
+    }
+
+    /// Records that a quarantine has ended, so that it is deleted from the store.
+    fn end(&mut self, subject: Subject) {
+        if self.stored.remove(&subject) {
+            self.ended.push(subject);
+        }
+    }
+
     fn record_cleared(&mut self, part: u64, now: Duration) {
         info!("event=part_cleared part={part:016x}");
-        if self.stored.remove(&part) {
-            self.ended.push(part);
-        }
+        self.end(Subject::Part(part));
         self.cleared.push_back((now, part));
     }
 
--- a/crates/bw-gateway/tests/hostile.rs
+++ b/crates/bw-gateway/tests/hostile.rs
@@ -209,3 +209,56 @@
         rig.stop().await;
     }
 }
+
+/// Sends a request that crashes endpoints until it has crashed three.
+async fn crash_three(rig: &Rig) {
+    while crashed(&rig.endpoints) < 3 {
+        rig.call("POST", "/order/poison", "the same").await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+fn crashed(endpoints: &[FakeEndpoint]) -> usize {
+    endpoints.iter().filter(|endpoint| !endpoint.observed().runs.is_empty()).count()
+}
+
+/// Waits until the store has the quarantine of a request, at most 3 s.
+async fn wait_stored(rig: &Rig) -> bool {
+    for _ in 0..150 {
+        if !rig.platform.snapshot().list("quarantines", "").items.is_empty() {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
+
+/// Guards against a request that crashes three endpoints anew after all gateways have been restarted at once.
+#[tokio::test]
+async fn a_request_that_crashes_endpoints_is_refused_after_all_gateways_have_restarted() {
+    let rig = Rig::start(&vec![Behaviour::Crash; 6]).await;
+    crash_three(&rig).await;
+    let next = rig.restart("gateway-2").await;
+    assert_eq!(next.call("POST", "/order/poison", "the same").await.status, 503);
+    // The evidence itself is kept, not only its result.
+    let last = next.restart("gateway-3").await;
+    assert_eq!(last.call("POST", "/order/poison", "the same").await.status, 503);
+    assert_eq!(crashed(&last.endpoints), 3);
+    last.stop().await;
+}
+
+/// Guards against evidence that is lost with the store's last seconds, while the gateways that know it are restarted
+/// later.
+#[tokio::test]
+async fn a_quarantine_is_stored_again_after_the_store_has_lost_it() {
+    let rig = Rig::start(&vec![Behaviour::Crash; 6]).await;
+    let snapshot = rig.platform.snapshot();
+    crash_three(&rig).await;
+    assert!(wait_stored(&rig).await);
+    rig.platform.restore(snapshot);
+    assert!(wait_stored(&rig).await);
+    let next = rig.restart("gateway-2").await;
+    assert_eq!(next.call("POST", "/order/poison", "the same").await.status, 503);
+    assert_eq!(crashed(&next.endpoints), 3);
+    next.stop().await;
+}
--- a/crates/bw-measure/src/commands/requests.rs
+++ b/crates/bw-measure/src/commands/requests.rs
@@ -1,5 +1,7 @@
 //! `requests`: number of explored states, and bounds on retries and on crashed endpoints.
 
+use std::time::Duration;
+
 use argh::FromArgs;
 use bw_explore::explore;
 use bw_explore::once::Faults;
@@ -105,7 +107,7 @@
                 fingerprints: vec![FINGERPRINT],
             };
             entries.iter_mut().for_each(|evidence| {
-                evidence.record(&crash);
+                evidence.record(&crash, Duration::ZERO);
             });
         }
     }
--- a/crates/bw-once/src/evidence.rs
+++ b/crates/bw-once/src/evidence.rs
@@ -3,16 +3,19 @@
 //! When its engine crashes, an agent reports the fingerprints of the requests in flight. Each of
 //! them gets a strike for the crash. A request with a strike is suspect, and the agent's gate never
 //! runs two suspect requests side by side, so that a second crash distinguishes the cause from the
-//! requests that were in flight with it. At [`STRIKES_MAX`] strikes a request is quarantined; a
-//! complete answer before that clears its strikes.
+//! requests that were in flight with it. At [`STRIKES_MAX`] strikes a request is quarantined for
+//! [`QUARANTINE_DURATION`] after its last crash; a complete answer before that clears its strikes.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use bw_model::Incarnation;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::parts::QUARANTINE_DURATION;
+
 /// Crashes after which a request is quarantined.
 pub const STRIKES_MAX: usize = 2;
 /// Maximum number of fingerprints with strikes; the oldest is dropped first.
@@ -31,8 +34,25 @@
     pub fingerprints: Vec<u64>,
 }
 
-/// Endpoint, incarnation and number, which together identify a crash.
-type CrashId = (String, Incarnation, u32);
+/// Identifies a crash: the endpoint, its incarnation and the number of the crash within it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct CrashId {
+    /// Endpoint that crashed.
+    pub endpoint: String,
+    /// Incarnation that crashed.
+    pub incarnation: Incarnation,
+    /// Number of the crash within the incarnation.
+    pub number: u32,
+}
+
+/// Crashes at which a request was in flight.
+#[derive(Clone, Debug, Default)]
+struct Strikes {
+    /// The crashes, oldest first.
+    crashes: Vec<CrashId>,
+    /// Time of the last one.
+    last: Duration,
+}
 
 /// Degree to which a request is suspected of crashing endpoints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -48,7 +68,7 @@
 /// Strikes by fingerprint.
 #[derive(Clone, Debug)]
 pub struct Evidence {
-    strikes: HashMap<u64, Vec<CrashId>>,
+    strikes: HashMap<u64, Strikes>,
     /// Fingerprints in the order of their first strike.
     order: VecDeque<u64>,
     /// Crashes after which a request is quarantined.
@@ -73,23 +93,41 @@
     }
 
     /// Records a crash. Returns true if this added a strike.
-    pub fn record(&mut self, crash: &Crash) -> bool {
-        let id = (crash.endpoint.clone(), crash.incarnation, crash.number);
+    pub fn record(&mut self, crash: &Crash, now: Duration) -> bool {
+        let id = CrashId {
+            endpoint: crash.endpoint.clone(),
+            incarnation: crash.incarnation,
+            number: crash.number,
+        };
         let mut added = false;
         for fingerprint in &crash.fingerprints {
-            let strikes = self.strikes.entry(*fingerprint).or_insert_with(|| {
-                self.order.push_back(*fingerprint);
-                Vec::new()
-            });
-            if !strikes.contains(&id) {
-                strikes.push(id.clone());
-                added = true;
-            }
+            added |= self.add_strike(*fingerprint, &id, now);
         }
         self.drop_oldest();
         added
     }
 
+    /// Records the crashes for which a request was quarantined before.
+    pub fn restore(&mut self, fingerprint: u64, crashes: &[CrashId], now: Duration) {
+        for id in crashes.iter().take(self.limit) {
+            self.add_strike(fingerprint, id, now);
+        }
+        self.drop_oldest();
+    }
+
+    fn add_strike(&mut self, fingerprint: u64, id: &CrashId, now: Duration) -> bool {
+        let strikes = self.strikes.entry(fingerprint).or_insert_with(|| {
+            self.order.push_back(fingerprint);
+            Strikes::default()
+        });
+        let added = !strikes.crashes.contains(id);
+        if added {
+            strikes.crashes.push(id.clone());
+            strikes.last = now;
+        }
+        added
+    }
+
     /// Clears the strikes of a request that was answered completely, unless it is quarantined.
     pub fn clear(&mut self, fingerprint: u64) {
         if self.suspicion(fingerprint) == Suspicion::Suspect {
@@ -100,25 +138,44 @@
 
     /// Returns the suspicion against the requests with this fingerprint.
     pub fn suspicion(&self, fingerprint: u64) -> Suspicion {
-        match self.strikes.get(&fingerprint).map_or(0, Vec::len) {
+        match self.crashes(fingerprint).len() {
             0 => Suspicion::Clear,
             strikes if strikes < self.limit => Suspicion::Suspect,
             _ => Suspicion::Quarantined,
         }
     }
 
-    /// Returns the strikes of quarantined requests, each with its endpoint and incarnation; the requests that
-    /// were suspected last come first.
-    pub fn quarantined(&self) -> impl Iterator<Item = (u64, &str, Incarnation)> {
+    /// Returns the crashes at which a request was in flight, oldest first.
+    pub fn crashes(&self, fingerprint: u64) -> &[CrashId] {
+        self.strikes.get(&fingerprint).map_or(&[], |strikes| &strikes.crashes)
+    }
+
+    /// Returns the quarantined requests; those that were suspected last come first.
+    pub fn quarantined(&self) -> impl Iterator<Item = u64> + '_ {
         let fingerprints = self.order.iter().rev().copied();
-        let quarantined = fingerprints
-            .filter(|fingerprint| self.suspicion(*fingerprint) == Suspicion::Quarantined);
-        quarantined.flat_map(|fingerprint| {
-            let strikes = self.strikes.get(&fingerprint).into_iter().flatten();
-            strikes.map(move |(endpoint, incarnation, _)| {
-                (fingerprint, endpoint.as_str(), *incarnation)
-            })
-        })
+        fingerprints.filter(|fingerprint| self.suspicion(*fingerprint) == Suspicion::Quarantined)
+    }
+
+    /// Ends the quarantines that have lasted long enough, and returns their requests. All strikes but one
+    /// stay, so that the next crash is enough to quarantine a request again.
+    pub fn expire(&mut self, now: Duration) -> Vec<u64> {
+        let over = |fingerprint: &u64| self.ends_at(*fingerprint).is_some_and(|at| at <= now);
+        let ended: Vec<u64> = self.quarantined().filter(over).collect();
+        for fingerprint in &ended {
+            let Some(strikes) = self.strikes.get_mut(fingerprint) else { continue };
+            let excess = strikes.crashes.len().saturating_sub(self.limit.saturating_sub(1));
+            strikes.crashes.drain(..excess);
+        }
+        ended
+    }
+
+    /// Returns the time at which the next quarantine ends.
+    pub fn next_expiry(&self) -> Option<Duration> {
+        self.quarantined().filter_map(|fingerprint| self.ends_at(fingerprint)).min()
+    }
+
+    fn ends_at(&self, fingerprint: u64) -> Option<Duration> {
+        self.strikes.get(&fingerprint).map(|strikes| strikes.last + QUARANTINE_DURATION)
     }
 
     /// Returns the number of fingerprints with a strike.
--- a/crates/bw-once/src/lib.rs
+++ b/crates/bw-once/src/lib.rs
@@ -19,6 +19,7 @@
 pub use answer::Head;
 pub use claim::Claim;
 pub use evidence::Crash;
+pub use evidence::CrashId;
 pub use evidence::Evidence;
 pub use evidence::Suspicion;
 pub use flow::Flow;
--- a/crates/bw-once/src/parts.rs
+++ b/crates/bw-once/src/parts.rs
@@ -31,9 +31,9 @@
 /// Greatest probability of a coincidence at which a part is quarantined that was in an answered
 /// request before.
 const COINCIDENCE_ANSWERED: f64 = 0.001;
-/// Time after the last crash for which a part stays quarantined. After it, one more crash shows
-/// whether the part still crashes endpoints.
-const QUARANTINE_DURATION: Duration = Duration::from_secs(600);
+/// Time after the last crash for which a part or a request stays quarantined. After it, one more crash
+/// shows whether it still crashes endpoints.
+pub const QUARANTINE_DURATION: Duration = Duration::from_secs(600);
 /// Maximum number of crashes that are kept; the oldest is dropped first.
 const CRASHES_MAX: usize = 64;
 /// Maximum number of parts under suspicion; the one with the oldest last crash is dropped first.
--- a/crates/bw-once/tests/answer.rs
+++ b/crates/bw-once/tests/answer.rs
@@ -3,9 +3,12 @@
 
 #![allow(clippy::unwrap_used, clippy::panic)]
 
+use std::time::Duration;
+
 use bw_model::AttemptId;
 use bw_model::Incarnation;
 use bw_once::answer::Accept;
+use bw_once::parts::QUARANTINE_DURATION;
 use bw_once::Answer;
 use bw_once::Assembler;
 use bw_once::Crash;
@@ -36,6 +39,10 @@
     assert_eq!(answer.read(OWN, 4, 10).unwrap().bytes, b"456789");
 }
 
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
 fn crash(number: u32, fingerprints: &[u64]) -> Crash {
     Crash {
         endpoint: format!("group-{number}"),
@@ -48,11 +55,11 @@
 #[test]
 fn a_second_crash_distinguishes_the_cause_from_requests_in_flight_with_it() {
     let mut evidence = Evidence::new();
-    assert!(evidence.record(&crash(1, &[7, 8, 9])));
-    assert!(!evidence.record(&crash(1, &[7, 8, 9])), "the same crash counts once");
+    assert!(evidence.record(&crash(1, &[7, 8, 9]), ms(0)));
+    assert!(!evidence.record(&crash(1, &[7, 8, 9]), ms(1)), "the same crash counts once");
     assert_eq!(evidence.suspicion(8), Suspicion::Suspect);
     evidence.clear(8);
-    evidence.record(&crash(2, &[7, 10]));
+    evidence.record(&crash(2, &[7, 10]), ms(2));
     assert_eq!(evidence.suspicion(7), Suspicion::Quarantined);
     assert_eq!(evidence.suspicion(8), Suspicion::Clear);
     assert_eq!(evidence.suspicion(10), Suspicion::Suspect);
@@ -64,6 +71,35 @@
     );
 }
 
+/// No quarantine lasts for ever, and a request that still crashes endpoints costs one more after it.
+#[test]
+fn a_quarantine_ends_and_the_next_crash_starts_it_again() {
+    let mut evidence = Evidence::with_limit(3);
+    for number in 1..=3 {
+        evidence.record(&crash(number, &[7]), ms(u64::from(number)));
+    }
+    let end = ms(3) + QUARANTINE_DURATION;
+    assert_eq!(evidence.next_expiry(), Some(end));
+    assert!(evidence.expire(end - ms(1)).is_empty());
+    assert_eq!(evidence.expire(end), vec![7]);
+    assert_eq!(evidence.suspicion(7), Suspicion::Suspect);
+    evidence.record(&crash(4, &[7]), end);
+    assert_eq!(evidence.suspicion(7), Suspicion::Quarantined);
+}
+
+/// What one process has stored quarantines the request in the next one, which may pass it on to others.
+#[test]
+fn a_quarantine_is_restored_with_its_crashes() {
+    let mut evidence = Evidence::with_limit(3);
+    for number in 1..=3 {
+        evidence.record(&crash(number, &[7]), ms(0));
+    }
+    let mut next = Evidence::with_limit(3);
+    next.restore(7, evidence.crashes(7), ms(0));
+    assert_eq!(next.suspicion(7), Suspicion::Quarantined);
+    assert_eq!(next.crashes(7), evidence.crashes(7));
+}
+
 proptest! {
     #[test]
     fn any_order_of_reads_gives_each_byte_once(
--- a/crates/bw-platform/src/lib.rs
+++ b/crates/bw-platform/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod error;
 pub mod leases;
+pub mod quarantines;
 pub mod store;
 
 pub use budget::Budget;
@@ -15,4 +16,7 @@
 pub use config::ConfigStore;
 pub use error::StoreError;
 pub use leases::LeaseObject;
+pub use quarantines::Quarantine;
+pub use quarantines::Quarantines;
+pub use quarantines::Subject;
 pub use store::Store;
