Take no status outside 200 to 599 for an answer

Callers saw: statuses 600 and 999, and a 101 that nobody asked for, as answers of endpoints, on safe, unsafe and streaming routes, and through bw-agent. 000, 099, letters and none were never passed on.

Cause: the HTTP library accepts 100 to 999 and nothing checked the range.

Change: both clients in bw-http break the exchange at such a status, so that the gateway answers 502 or asks another endpoint, and calls to ranks, the store and peers fail. bw-agent ends the attempt as failed without taking the engine for dead.

--- a/crates/bw-agent/src/runner.rs
+++ b/crates/bw-agent/src/runner.rs
@@ -78,6 +78,8 @@
     Unsent(String),
     /// The engine or service broke the exchange off.
     Broken(String),
+    /// The engine or service is there, and sent no answer that can be used.
+    Invalid(String),
     /// The deadline passed.
     DeadlineExceeded,
     /// No reader waits for the attempt any more.
@@ -127,7 +129,7 @@
 
     async fn fail(&self, dispatch: &Dispatch, view: &AgentView, failure: Failure, millis: u128) {
         let (end, reason) = match failure {
-            Failure::Unsent(reason) => (End::Failed, reason),
+            Failure::Unsent(reason) | Failure::Invalid(reason) => (End::Failed, reason),
             Failure::Broken(reason) => (End::Crashed(self.record_crash(view)), reason),
             Failure::DeadlineExceeded => (End::Failed, "deadline".to_string()),
             Failure::Cancelled => (End::Cancelled, "cancelled".to_string()),
@@ -152,6 +154,7 @@
                 Failure::Unsent(reason)
             }
             ClientError::Timeout(_) => Failure::DeadlineExceeded,
+            ClientError::InvalidReply(reason) => Failure::Invalid(reason),
             other => Failure::Broken(other.to_string()),
         })?;
         self.attempts.set_head(dispatch.attempt, response_head(&response));
--- a/crates/bw-gateway/tests/once.rs
+++ b/crates/bw-gateway/tests/once.rs
@@ -248,3 +248,25 @@
     assert_eq!(rig.endpoints[0].observed().runs.len(), 20);
     rig.stop().await;
 }
+
+/// Guards against a status that is no answer, or a switch of protocols that nobody asked for, as an answer.
+#[tokio::test]
+async fn a_status_that_ends_no_exchange_is_no_answer() {
+    for status in [100, 101, 199, 600, 999] {
+        let broken = Behaviour::Answer(status, "odd".to_string());
+        for (method, path) in [("GET", "/status/1"), ("POST", "/order/1"), ("POST", "/chat/1")] {
+            let rig = Rig::start(std::slice::from_ref(&broken)).await;
+            let reply = rig.call(method, path, "").await;
+            assert!(matches!(reply.status, 502 | 504), "{status} at {path}: {reply:?}");
+            if path.starts_with("/order") {
+                assert_eq!(rig.endpoints[0].observed().runs.len(), 1);
+            }
+            rig.stop().await;
+        }
+        let rig = Rig::start(&[broken, Behaviour::Answer(200, "fine".to_string())]).await;
+        for _ in 0..6 {
+            assert_eq!(rig.call("GET", "/status/1", "").await.status, 200, "{status}");
+        }
+        rig.stop().await;
+    }
+}
--- a/crates/bw-http/src/channel.rs
+++ b/crates/bw-http/src/channel.rs
@@ -27,6 +27,7 @@
 
 use crate::meter::Allowance;
 use crate::meter::Metered;
+use crate::reply::is_final;
 
 /// Largest head of a response, in bytes.
 const HEAD_BYTES_MAX: usize = 65_536;
@@ -163,7 +164,8 @@
         self.sender.ready().await.is_ok()
     }
 
-    /// Sends a request and returns the response once its head has arrived.
+    /// Sends a request and returns the response once its head has arrived. The channel is of no use after an
+    /// error.
     ///
     /// # Errors
     /// [`ChannelError`], whose variant says whether anything may have been written.
@@ -174,6 +176,9 @@
         self.allowance.set(BYTES_BETWEEN);
         self.used = true;
         match self.sender.try_send_request(request).await {
+            Ok(response) if !is_final(response.status()) => {
+                Err(ChannelError::Broken(format!("status {} ends no exchange", response.status())))
+            }
             Ok(response) => {
                 self.allowance.set(BYTES_BETWEEN);
                 let allowance = self.allowance.clone();
--- a/crates/bw-http/src/client.rs
+++ b/crates/bw-http/src/client.rs
@@ -23,6 +23,7 @@
 
 use crate::compress::decompress;
 use crate::compress::GZIP;
+use crate::reply::is_final;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest body of a reply, in bytes.
@@ -106,15 +107,19 @@
     /// Sends `request` and returns the reply once its head has arrived; the body may still follow.
     ///
     /// # Errors
-    /// [`ClientError::Connect`] when nothing was sent; [`ClientError::Broken`] or
-    /// [`ClientError::Timeout`] when the request may have run.
+    /// [`ClientError::Connect`] when nothing was sent; [`ClientError::Broken`], [`ClientError::Timeout`] or
+    /// [`ClientError::InvalidReply`] when the request may have run.
     pub async fn send(
         &self,
         request: Request<Full<Bytes>>,
         limit: Duration,
     ) -> Result<Response<Incoming>, ClientError> {
         match timeout(limit, self.inner.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) if is_final(response.status()) => Ok(response),
+            Ok(Ok(response)) => {
+                let reason = format!("status {} ends no exchange", response.status());
+                Err(ClientError::InvalidReply(reason))
+            }
             Ok(Err(error)) if error.is_connect() => Err(ClientError::Connect(describe(&error))),
             Ok(Err(error)) => Err(ClientError::Broken(describe(&error))),
             Err(_) => Err(ClientError::Timeout(limit)),
--- a/crates/bw-http/src/reply.rs
+++ b/crates/bw-http/src/reply.rs
@@ -1,4 +1,4 @@
-//! Builds replies with a content type.
+//! Builds replies with a content type, and checks the statuses of received ones.
 
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -41,3 +41,9 @@
     *response.status_mut() = status;
     response
 }
+
+/// Returns whether a status ends an exchange and says how. Others are interim, switch to another protocol that
+/// was not asked for, or have no meaning (RFC 9110, section 15).
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
