Refuse requests that come too late in a planned stop as not run

Callers saw: a request whose head was begun before the linger time's end and complete after it was passed on, and cut without an answer at the end of the grace time, also where it may not be repeated.

Cause: connections with a head on the way are left to finish it, and nothing compared a request's time with that of the process. The same for requests whose body arrives late, and for those that wait for an endpoint.

Change: a stopping process has a time until which everything may start and one at which it ends (bw-kernel, Drain). After the first, a request is sent or sent again only if its deadline lies before the second; otherwise it gets 503 "stopping" and a time to return.

Ruled out as a way: refusing everything after SIGTERM, since short requests end in time.

--- a/crates/bw-entry/src/main.rs
+++ b/crates/bw-entry/src/main.rs
@@ -12,6 +12,7 @@
 use bw_entry::decisions::Decisions;
 use bw_entry::evidence::SharedEvidence;
 use bw_entry::link::EntryHandler;
+use bw_entry::members::leave_on_stop;
 use bw_entry::members::Members;
 use bw_entry::planner::PlanService;
 use bw_entry::queue::Queue;
@@ -24,6 +25,8 @@
 use bw_kernel::live;
 use bw_kernel::live::Live;
 use bw_kernel::unix_millis;
+use bw_kernel::BootClock;
+use bw_kernel::Drain;
 use bw_kernel::Kernel;
 use bw_kernel::Metrics;
 use bw_link::Pool;
@@ -135,8 +138,8 @@
     kernel.start("web", |stop| bw_http::serve(listener, routes, stop));
     // Services stop in reverse order of their start. This one starts last, so that the entry
     // announces that it is leaving before its connections drain.
-    let members = services.members.clone();
-    kernel.start("leave", |stop| bw_entry::members::leave_on_stop(members, stop));
+    let (members, drain) = (services.members.clone(), services.drain.clone());
+    kernel.start("leave", |stop| leave_on_stop(members, drain, grace, stop));
     kernel.run(grace).await?;
     Ok(())
 }
@@ -188,6 +191,7 @@
         agents: Agents::new(pool),
         claims,
         evidence,
+        drain: Drain::new(BootClock::start()),
         decisions: Decisions::default(),
         metrics: RequestMetrics::new(metrics)?,
     })
--- a/crates/bw-entry/src/members.rs
+++ b/crates/bw-entry/src/members.rs
@@ -9,6 +9,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bw_kernel::Drain;
 use bw_kernel::Stop;
 use bw_link::Pool;
 use bw_member::addresses::pick_addresses;
@@ -279,15 +280,25 @@
 }
 
 /// Waits for `stop`, then announces to the other entries that this entry is leaving, so that callers
-/// no longer get its address.
+/// no longer get its address, and bounds what may still start within `grace`.
 ///
 /// # Errors
 /// None.
-pub async fn leave_on_stop(members: Members, mut stop: Stop) -> Result<(), Infallible> {
+pub async fn leave_on_stop(
+    members: Members,
+    drain: Drain,
+    grace: Duration,
+    mut stop: Stop,
+) -> Result<(), Infallible> {
     /// Time for the digest with the announcement to reach the other entries.
     const DIGEST_TIME: Duration = Duration::from_millis(300);
+    /// Part of the grace time in which requests may start whatever time they have.
+    const START_FRACTION: f64 = 0.3;
+    /// Time before the end of the grace time at which unfinished requests are answered.
+    const ANSWER_MARGIN: Duration = Duration::from_millis(200);
     stop.wait().await;
     members.leave();
+    drain.begin(grace.mul_f64(START_FRACTION), grace.saturating_sub(ANSWER_MARGIN));
     info!("event=leaving");
     tokio::time::sleep(DIGEST_TIME).await;
     Ok(())
--- a/crates/bw-entry/src/requests/chat.rs
+++ b/crates/bw-entry/src/requests/chat.rs
@@ -59,7 +59,7 @@
     pub async fn chat(&self, request: Request) -> Response {
         let id = request_id(&request);
         let started = self.routing.now();
-        let result = self.try_chat(request, &id).await;
+        let result = self.end_with_process(self.try_chat(request, &id)).await;
         self.record_result("chat", result.as_ref().err(), started);
         result.unwrap_or_else(|fault| fault.response(&id))
     }
--- a/crates/bw-entry/src/requests/context.rs
+++ b/crates/bw-entry/src/requests/context.rs
@@ -1,9 +1,11 @@
 //! Context of request handling: the shared services and the properties of one request.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bw_kernel::live::Live;
+use bw_kernel::Drain;
 use bw_kernel::KernelError;
 use bw_kernel::Metrics;
 use bw_model::fleet::PoolKey;
@@ -32,6 +34,9 @@
 use crate::routing::Routing;
 use crate::settings::Settings;
 
+/// Retry-after time of a request that comes too late in a planned stop of this entry.
+const STOPPING_PAUSE: Duration = Duration::from_secs(1);
+
 /// Metrics of requests, attempts and answers.
 #[derive(Clone)]
 pub struct RequestMetrics {
@@ -91,6 +96,8 @@
     pub claims: Claims,
     /// Evidence against requests that crash endpoints.
     pub evidence: SharedEvidence,
+    /// Planned stop of the process.
+    pub drain: Drain,
     /// Recent decisions, for `bwctl explain`.
     pub decisions: Decisions,
     /// Metrics of requests, attempts and answers.
@@ -136,10 +143,21 @@
         job.deadline.saturating_sub(self.routing.now())
     }
 
+    /// Returns the result of a request, or a failure shortly before this entry ends in a planned stop.
+    pub async fn end_with_process<F, T>(&self, request: F) -> Result<T, Fault>
+    where
+        F: Future<Output = Result<T, Fault>>,
+    {
+        tokio::select! {
+            result = request => result,
+            () = self.drain.over() => Err(Fault::Failed("entry_stopping")),
+        }
+    }
+
     /// Waits in the pool's queue until the request is admitted.
     ///
     /// # Errors
-    /// Returns [`Fault::Refused`] if the request would start too late.
+    /// Returns [`Fault::Refused`] if the request would start too late, also for a planned stop of this entry.
     pub async fn admit(&self, job: &Job) -> Result<Admitted, Fault> {
         let workspace = &job.current.fleet.workspaces[job.workspace];
         let request = AdmissionRequest {
@@ -149,7 +167,15 @@
             share: workspace.share,
             deadline: job.deadline,
         };
-        self.queue.admit(request).await.map_err(|rejection| {
+        let deadline = self.drain.after(self.remaining_time(job));
+        let admitted = tokio::select! {
+            biased;
+            () = self.drain.closed_to(deadline) => {
+                return Err(Fault::Refused { code: "stopping", retry_after: STOPPING_PAUSE });
+            }
+            admitted = self.queue.admit(request) => admitted,
+        };
+        admitted.map_err(|rejection| {
             let line = format!(
                 "event=turned_away request={} workspace={} pool={} retry_after_ms={}",
                 job.id,
--- a/crates/bw-entry/src/requests/service.rs
+++ b/crates/bw-entry/src/requests/service.rs
@@ -52,7 +52,7 @@
     pub async fn service(&self, request: Request) -> Response {
         let id = request_id(&request);
         let started = self.routing.now();
-        let result = self.try_service(request, &id).await;
+        let result = self.end_with_process(self.try_service(request, &id)).await;
         self.record_result("service", result.as_ref().err(), started);
         result.unwrap_or_else(|fault| fault.response(&id))
     }
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -9,6 +9,7 @@
 use bw_direct::peers::PeerAddress;
 use bw_kernel::unix_millis;
 use bw_kernel::BootClock;
+use bw_kernel::Drain;
 use bw_kernel::Kernel;
 use bw_kernel::Metrics;
 use bw_kernel::Stop;
@@ -157,6 +158,7 @@
         body_memory: Arc::new(Semaphore::new(body_units(settings.memory))),
         answer_memory: Arc::new(Semaphore::new(body_units(settings.memory))),
         metrics: gateway_metrics.clone(),
+        drain: Drain::new(clock),
         clock,
         settings: live.clone(),
     };
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -227,7 +227,14 @@
             RouteKind::Unsafe | RouteKind::Streaming => remaining,
         };
         let answer = self.read_answer(job, &mut channel, placed, request);
-        match timeout(answer_timeout, answer).await {
+        let answered = tokio::select! {
+            answered = timeout(answer_timeout, answer) => answered,
+            () = self.drain.over() => {
+                let failure = SendFailure::new(SendEnd::MayHaveRun, "the gateway is stopping");
+                return Err(SendFailure { blameless: true, ..failure });
+            }
+        };
+        match answered {
             Ok(result) => result.map(|answer| (channel, answer)),
             Err(_) => Err(SendFailure::new(SendEnd::MayHaveRun, "no answer in time")),
         }
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -20,6 +20,7 @@
 use bw_direct::request::CallerHead;
 use bw_direct::Catalog;
 use bw_kernel::BootClock;
+use bw_kernel::Drain;
 use bw_model::hash::fingerprint;
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -68,6 +69,8 @@
 const BODY_MEMORY_DIVISOR: u64 = 4;
 /// Retry-after time of a request whose body exceeds the free capacity for bodies.
 const RETRY_OVERLOADED: Duration = Duration::from_millis(1_000);
+/// Retry-after time of a request that comes too late in a planned stop; other gateways are ready.
+const RETRY_STOPPING: Duration = Duration::from_millis(100);
 /// Retry-after time of a request that is quarantined because it crashes endpoints.
 const RETRY_QUARANTINED: Duration = Duration::from_secs(30);
 
@@ -96,6 +99,8 @@
     pub metrics: GatewayMetrics,
     /// Retry budgets of the services.
     pub retries: Retries,
+    /// Planned stop of the process.
+    pub drain: Drain,
     /// Monotonic clock of the process.
     pub clock: BootClock,
     /// Settings, which may be reloaded while the process runs.
@@ -176,8 +181,15 @@
         let route = &catalog.routes[key];
         let workspace = found.map(|found| &catalog.workspaces[found]);
         let remaining = head.remaining.unwrap_or(DEADLINE_DEFAULT).min(route.timeout);
+        let deadline = arrived_at + remaining;
         let memory = self.reserve_memory(&body, catalog.limits.body)?;
-        let body = self.read_body(body, catalog.limits.body, remaining).await?;
+        let body = tokio::select! {
+            biased;
+            () = self.drain.closed_to(deadline) => {
+                return Err((Refusal::Stopping, Some(RETRY_STOPPING)));
+            }
+            body = self.read_body(body, catalog.limits.body, remaining) => body?,
+        };
         let workspace_name = workspace.map_or("", |workspace| workspace.name.as_str());
         // A request without a query has the fingerprint that earlier releases give it.
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
@@ -195,7 +207,7 @@
             homes: Homes::of(&route.homes, workspace.map_or(&[], |workspace| &workspace.homes)),
             service,
             attempts: Attempts::new(route),
-            deadline: arrived_at + remaining,
+            deadline,
             arrived_at,
             route: key,
             catalog,
@@ -285,7 +297,12 @@
         self.retries.record_request(&job.service, job.arrived_at);
         let outcome = loop {
             let request = job.placement_request(job.arrived_at);
-            let placed = match self.waiting.place(request).await {
+            let placed = tokio::select! {
+                biased;
+                () = self.drain.closed_to(job.deadline) => break self.stopped_outcome(&job),
+                placed = self.waiting.place(request) => placed,
+            };
+            let placed = match placed {
                 Ok(placed) => placed,
                 Err(rejected) => {
                     if job.catalog.urgency(&job.service).is_some() {
@@ -372,6 +389,15 @@
         }
     }
 
+    /// Returns the outcome of a request that is not sent, or not sent again, because the gateway is stopping.
+    fn stopped_outcome(&self, job: &Job) -> Outcome {
+        if job.attempts.may_have_run() {
+            Outcome::Refused(Refusal::MayHaveRun, None)
+        } else {
+            Outcome::Refused(Refusal::Stopping, Some(RETRY_STOPPING))
+        }
+    }
+
     /// Returns the outcome after a send that ended without an answer for the caller, or `None` if
     /// the request is to be sent to another endpoint. `whole` is the endpoint's own failure, if
     /// it answered with one.
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -250,7 +250,9 @@
     /// the stream may be sent once more.
     fn place_elsewhere(&self, key: EndpointKey) -> Option<PlacedRequest> {
         let now = self.forwarder.clock.now();
-        let movable = self.job.route().resumable && self.job.attempts.may_run_again();
+        let movable = self.job.route().resumable
+            && self.job.attempts.may_run_again()
+            && self.forwarder.drain.admits(self.job.deadline);
         if !movable || !self.forwarder.endpoints.should_evacuate(key, now) {
             return None;
         }
--- a/crates/bw-gateway/src/frontend.rs
+++ b/crates/bw-gateway/src/frontend.rs
@@ -41,6 +41,9 @@
 /// Answer on a connection beyond the limit.
 const LIMIT_ANSWER: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n\
 Connection: close\r\nContent-Length: 0\r\n\r\n";
+/// Time before the end of the grace time at which unfinished requests are answered, so that the answers reach the
+/// callers before the process ends.
+const ANSWER_MARGIN: Duration = Duration::from_millis(500);
 /// Timeouts that detect callers that have vanished without closing their connections.
 const CALLER_LIVENESS: Liveness = Liveness {
     connect: Duration::from_millis(1_000),
@@ -62,8 +65,10 @@
     let settings = forwarder.settings.get();
     let connections_max = (settings.descriptors as f64 * CALLER_SHARE) as usize;
     let permits = Arc::new(Semaphore::new(connections_max));
+    let drain = forwarder.drain.clone();
     let linger_end = async {
         stop.wait().await;
+        drain.begin(settings.linger, settings.grace.saturating_sub(ANSWER_MARGIN));
         tokio::time::sleep(settings.linger).await;
     };
     tokio::pin!(linger_end);
--- a/crates/bw-gateway/src/reply.rs
+++ b/crates/bw-gateway/src/reply.rs
@@ -198,6 +198,8 @@
     Overloaded,
     /// The request has crashed too many endpoints.
     Quarantined,
+    /// The gateway is stopping, and may end before the request does.
+    Stopping,
 }
 
 impl Refusal {
@@ -218,6 +220,7 @@
             Self::TimedOut => "timed_out",
             Self::Overloaded => "overloaded",
             Self::Quarantined => "quarantined",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -231,7 +234,8 @@
             | Self::AllRejected
             | Self::Expired
             | Self::Overloaded
-            | Self::Quarantined => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadHead => StatusCode::BAD_REQUEST,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
