Bound what an agent and an entry keep of an endless answer

Callers saw (on a system of this kind): machines that ran out of memory by one server's bytes without end. Here bw-gateway is bounded, but bw-agent keeps the whole answer to a request that may run only once: with 3 GB of address space it ends with "memory allocation of bytes failed". bw-entry keeps an event without an end, and all text of a stream.

Cause: what has to be kept whole had no bound there.

Change: the agent keeps answer-bytes of such an answer, then drops it and fails the attempt; the entry takes an event over 1 MiB for a failure of the endpoint, and keeps answer-bytes of a stream's text for a continuation. Beside it: a stream that ends within an event fails the endpoint instead of looking whole, and an answer that is no stream, such as an engine's error, keeps its body.

--- a/crates/bw-agent/src/attempts.rs
+++ b/crates/bw-agent/src/attempts.rs
@@ -57,8 +57,14 @@
 pub struct Attempts {
     state: Arc<Mutex<State>>,
     retention: Duration,
+    /// Largest answer of a request that may run only once, in bytes.
+    answer_max: usize,
 }
 
+/// An answer that has to be kept whole is larger than allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerTooLarge;
+
 /// Result of a read.
 pub enum ReadResult {
     /// A chunk of the answer, which may be empty after the longest wait.
@@ -71,11 +77,12 @@
 pub type Cancelled = watch::Receiver<bool>;
 
 impl Attempts {
-    /// Creates the attempts of a new incarnation, which has no slots until [`Attempts::set_slots`].
-    pub fn new(incarnation: Incarnation, retention: Duration) -> Self {
+    /// Creates the attempts of a new incarnation, which has no slots until [`Attempts::set_slots`]. The records
+    /// of requests that may run only once are kept for `retention`, with answers of at most `answer_max` bytes.
+    pub fn new(incarnation: Incarnation, retention: Duration, answer_max: usize) -> Self {
         let gate = Gate::new(incarnation, 0);
         let state = State { gate, attempts: HashMap::new(), tombstones: Vec::new() };
-        Self { state: Arc::new(Mutex::new(state)), retention }
+        Self { state: Arc::new(Mutex::new(state)), retention, answer_max }
     }
 
     /// Returns the current incarnation of the agent.
@@ -200,11 +207,22 @@
 
     /// Appends bytes to the answer. Returns the number of bytes buffered for the reader, or 0 for a
     /// request that may run only once, to which no backpressure applies.
-    pub fn append(&self, attempt: AttemptId, bytes: &[u8]) -> usize {
-        let mut buffered = 0;
+    ///
+    /// # Errors
+    /// [`AnswerTooLarge`] for a request that may run only once. The answer is dropped.
+    pub fn append(&self, attempt: AttemptId, bytes: &[u8]) -> Result<usize, AnswerTooLarge> {
+        let mut buffered = Ok(0);
         self.change(attempt, |found| {
-            found.answer.append(bytes);
-            buffered = if found.once { 0 } else { found.answer.buffered() };
+            if !found.once {
+                found.answer.append(bytes);
+                buffered = Ok(found.answer.buffered());
+            } else if found.answer.buffered() + bytes.len() > self.answer_max {
+                let end = found.answer.length();
+                found.answer.trim(end);
+                buffered = Err(AnswerTooLarge);
+            } else {
+                found.answer.append(bytes);
+            }
         });
         buffered
     }
--- a/crates/bw-agent/src/main.rs
+++ b/crates/bw-agent/src/main.rs
@@ -88,7 +88,7 @@
         None => None,
     };
     let pool = Pool::new();
-    let attempts = Attempts::new(incarnation, settings.retention);
+    let attempts = Attempts::new(incarnation, settings.retention, settings.answer);
     let config = store.clone().map(ConfigStore::new);
     let views = ViewCache::new(instance.clone(), pool.clone(), attempts.clone(), config);
     let (service_time, crashes) = (ServiceTime::default(), Crashes::default());
--- a/crates/bw-agent/src/runner.rs
+++ b/crates/bw-agent/src/runner.rs
@@ -180,13 +180,14 @@
         data: &Bytes,
         deadline: Instant,
     ) -> Result<(), Failure> {
-        let mut buffered = self.attempts.append(dispatch.attempt, data);
+        let invalid = |_| Failure::Invalid("answer too large".to_string());
+        let mut buffered = self.attempts.append(dispatch.attempt, data).map_err(invalid)?;
         while buffered > BUFFERED_MAX {
             if Instant::now() >= deadline {
                 return Err(Failure::DeadlineExceeded);
             }
             tokio::time::sleep(BACKPRESSURE_POLL).await;
-            buffered = self.attempts.append(dispatch.attempt, &[]);
+            buffered = self.attempts.append(dispatch.attempt, &[]).map_err(invalid)?;
         }
         Ok(())
     }
--- a/crates/bw-agent/src/settings.rs
+++ b/crates/bw-agent/src/settings.rs
@@ -30,6 +30,8 @@
     pub grace: Duration,
     /// Time for which records of requests that may run only once are kept.
     pub retention: Duration,
+    /// Maximum size of the answer to such a request, in bytes.
+    pub answer: usize,
     /// Engine steps between a proposal and the switch.
     pub margin_steps: u64,
     /// Log filter.
@@ -60,6 +62,7 @@
     fn try_from((file, ini): (&str, &IniFile)) -> Result<Self, Faults> {
         const ADDRESS: &str = "an address such as 10.0.0.7:7000";
         const HOUR_MS: u64 = 3_600_000;
+        const MIB: usize = 1 << 20;
         let mut faults = Faults::default();
         check_kinds(ini, &["agent"], &mut faults);
         let raw = settings_section(file, ini, "agent");
@@ -72,6 +75,7 @@
         let heartbeat_interval = section.millis("beat-ms", (50, 60_000), 500, &mut faults);
         let grace = section.millis("grace-ms", (0, 24 * HOUR_MS), 600_000, &mut faults);
         let retention = section.millis("retention-ms", (1_000, 48 * HOUR_MS), HOUR_MS, &mut faults);
+        let answer = section.ranged("answer-bytes", (1_024, 256 * MIB), 32 * MIB, &mut faults);
         let margin_steps = section.ranged("switch-margin-steps", (1, 100_000), 40, &mut faults);
         let log = section.optional("log", "a log filter", "info".to_string(), &mut faults);
         section.finish(&mut faults);
@@ -85,6 +89,7 @@
                 heartbeat_interval,
                 grace,
                 retention,
+                answer,
                 margin_steps,
                 log,
             }),
--- a/crates/bw-agent/tests/runner.rs
+++ b/crates/bw-agent/tests/runner.rs
@@ -26,6 +26,8 @@
 
 const INCARNATION: Incarnation = Incarnation(1);
 const ATTEMPT: AttemptId = AttemptId(7);
+/// Largest answer of a request that may run only once.
+const ANSWER_MAX: usize = 1 << 20;
 
 /// Starts an engine that answers each connection with `head`, then with `rest` until the connection breaks.
 async fn start_engine(head: String, rest: String) -> SocketAddr {
@@ -48,9 +50,9 @@
     address
 }
 
-/// Runs one attempt to its end and returns the last chunk of its answer.
-async fn run(backend: SocketAddr, once: bool) -> (Chunk, Runner) {
-    let attempts = Attempts::new(INCARNATION, Duration::from_secs(60));
+/// Runs one attempt to its end and returns the last chunk of its answer, if the answer is held.
+async fn run(backend: SocketAddr, once: bool) -> (Option<Chunk>, Runner) {
+    let attempts = Attempts::new(INCARNATION, Duration::from_secs(60), ANSWER_MAX);
     attempts.set_slots(1);
     let runner = Runner::new(attempts.clone(), ServiceTime::default(), Crashes::default());
     let dispatch = Dispatch {
@@ -88,8 +90,10 @@
     let running = runner.clone().run(dispatch, Arc::new(view), cancelled.unwrap());
     tokio::time::timeout(Duration::from_secs(15), running).await.unwrap();
     let read = attempts.read(ATTEMPT, INCARNATION, 0, true, Duration::ZERO).await;
-    let ReadResult::Chunk(chunk) = read else { panic!("the answer is lost") };
-    (chunk, runner)
+    match read {
+        ReadResult::Chunk(chunk) => (Some(chunk), runner),
+        ReadResult::Lost(_) => (None, runner),
+    }
 }
 
 /// Guards against a status that is no answer as an answer, and against an engine that sends one taken for dead.
@@ -99,9 +103,35 @@
         let head = format!("HTTP/1.1 {status} Odd\r\nContent-Length: 3\r\n\r\nodd");
         for once in [false, true] {
             let (chunk, runner) = run(start_engine(head.clone(), String::new()).await, once).await;
+            let chunk = chunk.unwrap();
             assert_eq!(chunk.end, Some(End::Failed), "{status}");
             assert_eq!(chunk.head, None, "{status}");
             assert!(!runner.is_dead());
         }
     }
 }
+
+/// Guards against an engine whose endless answer fills the memory of its agent, which keeps the answers of requests
+/// that may run only once.
+#[tokio::test]
+async fn an_endless_answer_ends_the_attempt() {
+    let part = "x".repeat(0x1_0000);
+    let endless = [
+        ("HTTP/1.1 200 OK\r\n\r\n".to_string(), part.clone()),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_string(),
+            format!("10000\r\n{part}\r\n"),
+        ),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n".to_string(), part.clone()),
+    ];
+    for (head, rest) in endless {
+        let (chunk, runner) = run(start_engine(head, rest).await, true).await;
+        assert_eq!(chunk, None, "the answer is still held");
+        assert!(!runner.is_dead());
+    }
+    // A head without an end is no answer, whatever the request.
+    let (chunk, _) =
+        run(start_engine("HTTP/1.1 200 OK\r\n".to_string(), "x-y: z\r\n".repeat(99)).await, true)
+            .await;
+    assert_eq!(chunk.unwrap().head, None);
+}
--- a/crates/bw-entry/src/requests/attempt.rs
+++ b/crates/bw-entry/src/requests/attempt.rs
@@ -14,6 +14,7 @@
 use super::context::Job;
 use super::context::Services;
 use super::sink::Sink;
+use super::sink::SinkError;
 use crate::agents::Agents;
 use crate::agents::ReadReply;
 
@@ -121,8 +122,8 @@
             match accepted {
                 Accept::New(bytes) if !bytes.is_empty() => {
                     last_progress = self.routing.now();
-                    if sink.write(bytes).await.is_err() {
-                        return ReadEnd::CallerGone;
+                    if let Err(error) = sink.write(bytes).await {
+                        return self.end_of(job, error);
                     }
                 }
                 Accept::New(_) => {}
@@ -132,13 +133,27 @@
             }
             match assembler.end() {
                 None => {}
-                Some(End::Whole) => return ReadEnd::Whole,
+                Some(End::Whole) => match sink.finish() {
+                    Ok(()) => return ReadEnd::Whole,
+                    Err(error) => return self.end_of(job, error),
+                },
                 Some(End::Crashed(number)) => return ReadEnd::Crashed(number),
                 Some(End::Failed | End::Cancelled) => return ReadEnd::Failed,
             }
         }
     }
 
+    /// Returns the end of an answer that the sink takes no more of.
+    fn end_of(&self, job: &Job, error: SinkError) -> ReadEnd {
+        match error {
+            SinkError::CallerGone => ReadEnd::CallerGone,
+            SinkError::Unsound => {
+                warn!("event=answer_unsound request={} reason=partial_event", job.id);
+                ReadEnd::Failed
+            }
+        }
+    }
+
     /// Counts a dropped chunk by reason.
     fn count_dropped(&self, reason: &str) {
         self.metrics.dropped.with_label_values(&[reason]).inc();
--- a/crates/bw-entry/src/requests/chat.rs
+++ b/crates/bw-entry/src/requests/chat.rs
@@ -130,8 +130,9 @@
         let id = job.id.clone();
         let original = serde_json::from_slice(&job.call.body).unwrap_or(value);
         let services = self.clone();
+        let text_max = self.settings.get().answer;
         tokio::spawn(async move {
-            let mut sink = EventSink::new(sender.clone(), original);
+            let mut sink = EventSink::new(sender.clone(), original, text_max);
             let result = services.run_repeatable(job.clone(), &mut sink).await;
             if let Err(fault) = result {
                 // The send fails only if the caller has disconnected.
--- a/crates/bw-entry/src/requests/sink.rs
+++ b/crates/bw-entry/src/requests/sink.rs
@@ -4,9 +4,14 @@
 
 use bw_once::Head;
 
-/// The caller has disconnected, or the sink is full; reading of the answer stops.
+/// Why a sink takes no more of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct CallerGone;
+pub enum SinkError {
+    /// The caller has disconnected, or the sink is full; reading of the answer stops.
+    CallerGone,
+    /// The bytes are no sound answer, which counts as a failure of the endpoint.
+    Unsound,
+}
 
 /// Receives the bytes of one attempt's answer in order.
 pub trait Sink: Send {
@@ -14,7 +19,15 @@
     fn write_head(&mut self, head: &Head);
 
     /// Receives the next bytes of the body.
-    fn write(&mut self, bytes: Vec<u8>) -> impl Future<Output = Result<(), CallerGone>> + Send;
+    fn write(&mut self, bytes: Vec<u8>) -> impl Future<Output = Result<(), SinkError>> + Send;
+
+    /// Checks, at the end of a whole answer, that the answer may end there.
+    ///
+    /// # Errors
+    /// [`SinkError::Unsound`] if the end is missing.
+    fn finish(&mut self) -> Result<(), SinkError> {
+        Ok(())
+    }
 }
 
 /// Collects an answer in memory.
@@ -42,10 +55,10 @@
         self.head = Some(head.clone());
     }
 
-    async fn write(&mut self, bytes: Vec<u8>) -> Result<(), CallerGone> {
+    async fn write(&mut self, bytes: Vec<u8>) -> Result<(), SinkError> {
         if self.body.len() + bytes.len() > self.limit {
             self.overrun = true;
-            return Err(CallerGone);
+            return Err(SinkError::CallerGone);
         }
         self.body.extend_from_slice(&bytes);
         Ok(())
--- a/crates/bw-entry/src/requests/stream.rs
+++ b/crates/bw-entry/src/requests/stream.rs
@@ -9,11 +9,13 @@
 use super::context::Job;
 use super::fault::Fault;
 use super::repeatable::Restart;
-use super::sink::CallerGone;
 use super::sink::Sink;
+use super::sink::SinkError;
 
 /// Terminator of an event in a stream of server-sent events.
 const EVENT_END: &[u8] = b"\n\n";
+/// Largest event, in bytes.
+const EVENT_BYTES_MAX: usize = 1 << 20;
 
 /// Part of a streamed response.
 pub enum Piece {
@@ -32,10 +34,16 @@
     /// Body of the request as first dispatched.
     original: Value,
     head_sent: bool,
+    /// Whether the answer is no stream of events, such as an error, and is forwarded as it comes.
+    plain: bool,
     /// Bytes of an incomplete event.
     partial: Vec<u8>,
-    /// Text of the answer received so far.
+    /// Text of the answer received so far, up to [`Self::text_max`].
     text: String,
+    /// Longest text, in bytes, with which another endpoint may continue the answer.
+    text_max: usize,
+    /// Whether the text is longer, so that the answer cannot be continued.
+    text_cut: bool,
     /// Number of events with text received so far, taken as the number of tokens.
     tokens: u64,
     /// Id in the first attempt's events.
@@ -45,20 +53,33 @@
 }
 
 impl EventSink {
-    /// Creates a sink that sends the answer to the chat request `original` to `caller`.
-    pub fn new(caller: mpsc::Sender<Piece>, original: Value) -> Self {
+    /// Creates a sink that sends the answer to the chat request `original` to `caller`, and keeps at most
+    /// `text_max` bytes of its text.
+    pub fn new(caller: mpsc::Sender<Piece>, original: Value, text_max: usize) -> Self {
         Self {
             caller,
             original,
             head_sent: false,
+            plain: false,
             partial: Vec::new(),
             text: String::new(),
+            text_max,
+            text_cut: false,
             tokens: 0,
             id: None,
             done: false,
         }
     }
 
+    /// Returns the length of the text that is kept for a continuation, in bytes.
+    pub fn kept_text(&self) -> usize {
+        self.text.len()
+    }
+
+    async fn forward(&self, bytes: Vec<u8>) -> Result<(), SinkError> {
+        self.caller.send(Piece::Bytes(bytes)).await.map_err(|_| SinkError::CallerGone)
+    }
+
     /// Processes one event, without its terminator, and returns the event to forward.
     fn process_event(&mut self, event: &[u8]) -> Vec<u8> {
         let text = String::from_utf8_lossy(event);
@@ -73,7 +94,13 @@
             return event.to_vec();
         };
         if let Some(content) = value.pointer("/choices/0/delta/content").and_then(Value::as_str) {
-            self.text.push_str(content);
+            if self.text.len() + content.len() > self.text_max {
+                self.text_cut = true;
+                self.text = String::new();
+            }
+            if !self.text_cut {
+                self.text.push_str(content);
+            }
             self.tokens += 1;
         }
         let id = value.get("id").cloned().unwrap_or(Value::Null);
@@ -89,12 +116,18 @@
 
 impl Sink for EventSink {
     fn write_head(&mut self, head: &Head) {
+        self.plain = !is_event_stream(head);
         if !self.head_sent && self.caller.try_send(Piece::Head(head.clone())).is_ok() {
             self.head_sent = true;
         }
     }
 
-    async fn write(&mut self, bytes: Vec<u8>) -> Result<(), CallerGone> {
+    async fn write(&mut self, bytes: Vec<u8>) -> Result<(), SinkError> {
+        if self.plain {
+            // What the caller has received cannot be replaced by another endpoint's answer.
+            self.done = true;
+            return self.forward(bytes).await;
+        }
         self.partial.extend_from_slice(&bytes);
         let mut whole = Vec::new();
         while let Some(end) = find(&self.partial, EVENT_END) {
@@ -102,17 +135,28 @@
             whole.extend(self.process_event(&event[..end]));
             whole.extend_from_slice(EVENT_END);
         }
-        if whole.is_empty() {
-            return Ok(());
+        if !whole.is_empty() {
+            self.forward(whole).await?;
+        }
+        if self.partial.len() > EVENT_BYTES_MAX {
+            return Err(SinkError::Unsound);
+        }
+        Ok(())
+    }
+
+    fn finish(&mut self) -> Result<(), SinkError> {
+        if self.partial.iter().all(u8::is_ascii_whitespace) {
+            Ok(())
+        } else {
+            Err(SinkError::Unsound)
         }
-        self.caller.send(Piece::Bytes(whole)).await.map_err(|_| CallerGone)
     }
 }
 
 impl Restart for EventSink {
     fn restart(&mut self, job: &mut Job) -> bool {
         self.partial.clear();
-        if self.done {
+        if self.done || self.text_cut {
             return false;
         }
         if self.text.is_empty() {
@@ -128,6 +172,12 @@
     }
 }
 
+/// Returns whether the body of an answer consists of events.
+fn is_event_stream(head: &Head) -> bool {
+    let kind = head.headers.iter().find(|(name, _)| name.as_str() == "content-type");
+    kind.is_some_and(|(_, value)| value.trim_start().starts_with("text/event-stream"))
+}
+
 /// Builds the body of a request that continues the answer after `text`, which has `tokens` tokens.
 /// Token limits are reduced by `tokens`. Returns `None` if `original` has no list of messages.
 fn continuation(original: &Value, text: &str, tokens: u64) -> Option<Vec<u8>> {
