Join the other gateways again after the store has lost their entries

The store returned from a copy without a gateway's entry, and a gateway added later never met it: each spent the whole allowance, and both planned expert maps.

Cause: a gateway wrote its entry and read the list of the others only once.

--- a/crates/bw-gateway/tests/restore.rs
+++ b/crates/bw-gateway/tests/restore.rs
@@ -259,3 +259,28 @@
     started.stop().await;
     rig.stop().await;
 }
+
+/// Guards against a gateway that is never found by one that is added later, since the store has lost its entry: each of
+/// the two would take itself for the only one.
+#[tokio::test]
+async fn a_gateways_entry_is_written_again_after_the_store_has_lost_it() {
+    let rig = Rig::start(&[ok_answer()]).await;
+    let entries = || rig.platform.snapshot().list("gateways", "").items.len();
+    let registered = async {
+        while entries() == 0 {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    registered.await;
+    let mut copy = rig.platform.snapshot();
+    copy.remove("gateways", &rig.settings.instance.to_string()).unwrap();
+    rig.platform.restore(copy);
+    for _ in 0..200 {
+        if entries() > 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(entries(), 1);
+    rig.stop().await;
+}
--- a/crates/bw-platform/src/store.rs
+++ b/crates/bw-platform/src/store.rs
@@ -143,6 +143,22 @@
         self.call(purpose, self.client.replace(object)).await
     }
 
+    /// Creates an object, or replaces the one with its name whatever its revision. Returns the era of the store in
+    /// which the write took effect.
+    ///
+    /// # Errors
+    /// Any [`StoreError`].
+    pub async fn overwrite(&self, purpose: Purpose, object: &Object) -> Result<u64, StoreError> {
+        let new = Object { revision: 0, ..object.clone() };
+        match self.put_in_era(purpose, &new).await {
+            Err(StoreError::Conflict) => {
+                let replaced = self.call(purpose, self.client.replace_in_era(&new)).await;
+                replaced.map(|(_, era)| era)
+            }
+            created => created.map(|(_, era)| era),
+        }
+    }
+
     /// Creates the object if its revision is 0, otherwise replaces that revision.
     ///
     /// # Errors
