Count endpoints that are lost together once against an answered request

Cause: requests with the same content have one fingerprint, and each lost endpoint counted as a crash against it. What is quarantined is never sent, so that no answer could clear it.

Change: requests that were answered are remembered; against them, crashes within a second count once, as against parts of prompts, and the next answer clears them.

Before: hostile.rs, a_request_that_was_answered_is_served_after_endpoints_ were_lost_together, fails on (503).

--- a/crates/bw-direct/src/part_news.rs
+++ b/crates/bw-direct/src/part_news.rs
@@ -30,7 +30,8 @@
 pub struct PartNews {
     /// Requests of the sender that were in flight at recent crashes.
     pub crashes: Vec<CrashNews>,
-    /// Parts that were suspected or quarantined and have been found not to crash endpoints.
+    /// Parts, and fingerprints of requests, that were suspected or quarantined and have been found not to crash
+    /// endpoints. Releases before 0.4.0 know parts only, and clear nothing for a fingerprint.
     pub cleared: Vec<u64>,
     /// Parts that are quarantined at the sender.
     pub quarantined: Vec<QuarantineNews>,
--- a/crates/bw-gateway/src/suspects.rs
+++ b/crates/bw-gateway/src/suspects.rs
@@ -81,7 +81,7 @@
     recent: VecDeque<(Duration, SuspectNews)>,
     /// Requests in flight at recent crashes at this gateway, as above.
     crashed: VecDeque<(Duration, CrashNews)>,
-    /// Parts against which the evidence was dropped, as above.
+    /// Parts and requests against which the evidence was dropped, as above.
     cleared: VecDeque<(Duration, u64)>,
     /// Quarantines that the store is known to have.
     stored: HashSet<Subject>,
@@ -148,10 +148,16 @@
         state.is_quarantined(fingerprint) || state.parts.quarantined(parts).is_some()
     }
 
-    /// Removes the evidence against a request that was answered completely, unless the request is
-    /// quarantined.
+    /// Records that a request was answered completely, and removes the evidence against it, unless the request
+    /// is quarantined.
     pub fn clear(&self, fingerprint: u64) {
-        self.lock().evidence.clear(fingerprint);
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.evidence.clear(fingerprint) {
+            info!("event=request_cleared fingerprint={fingerprint:016x} reason=answered");
+            state.recent.retain(|(_, suspect)| suspect.fingerprint != fingerprint);
+            state.cleared.push_back((now, fingerprint));
+        }
     }
 
     /// Removes the evidence against the parts of a prompt that was answered completely and with
@@ -216,6 +222,10 @@
         for part in &news.cleared {
             state.stored.remove(&Subject::Part(*part));
             state.parts.clear(*part);
+            state.absolve(*part);
+        }
+        if !state.ended.is_empty() {
+            self.changed.notify_one();
         }
         for quarantine in &news.quarantined {
             let part = quarantine.part;
@@ -434,6 +444,16 @@
         wanted.then(|| Quarantine::Request { request, crashes: crashes() })
     }
 
+    /// Drops the evidence against a request that a peer has seen answered.
+    fn absolve(&mut self, fingerprint: u64) {
+        let quarantined = self.is_quarantined(fingerprint);
+        if self.evidence.absolve(fingerprint) && quarantined {
+            info!("event=request_released fingerprint={fingerprint:016x} reason=peer");
+            self.witnessed.remove(&fingerprint);
+            self.end(Subject::Request(fingerprint));
+        }
+    }
+
     /// Records that a quarantine has ended, so that it is deleted from the store.
     fn end(&mut self, subject: Subject) {
         if self.stored.remove(&subject) {
--- a/crates/bw-gateway/tests/hostile.rs
+++ b/crates/bw-gateway/tests/hostile.rs
@@ -8,9 +8,12 @@
 
 use bw_direct::catalog::Draft;
 use bw_direct::catalog::Limits;
+use bw_direct::peers::SuspectNews;
 use bw_fake::endpoint::Behaviour;
 use bw_fake::endpoint::FakeEndpoint;
+use bw_model::hash::fingerprint;
 use common::draft;
+use common::news;
 use common::read_reply;
 use common::request;
 use common::Rig;
@@ -19,6 +22,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
 
 fn ok_answer() -> Behaviour {
     Behaviour::Answer(200, "fine".to_string())
@@ -262,3 +266,31 @@
     assert_eq!(crashed(&next.endpoints), 3);
     next.stop().await;
 }
+
+/// Guards against look-ups that are refused for good since several of them were in flight at endpoints that were lost
+/// together.
+#[tokio::test]
+async fn a_request_that_was_answered_is_served_after_endpoints_were_lost_together() {
+    let rig = Rig::start(&[ok_answer(), ok_answer()]).await;
+    let other = rig.start_peer("gateway-2").await;
+    assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+    // A third gateway has seen the crashes.
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let lost = (0..3).map(|number| SuspectNews {
+        endpoint: format!("lost-{number}"),
+        born: 1,
+        fingerprint: fingerprint("orders", "/status/1", b""),
+    });
+    let lost: Vec<SuspectNews> = lost.collect();
+    let mut told = news("gateway-3", "a", socket.local_addr().unwrap(), 1, 1);
+    told.suspects = lost;
+    rig.send_news(&socket, &told).await;
+    other.send_news(&socket, &told).await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+    // The gateway that has not answered it learns that it is sound.
+    let learnt = async { other.wait_status("/status/1", 200).await };
+    tokio::time::timeout(Duration::from_secs(5), learnt).await.unwrap();
+    rig.stop().await;
+    other.stop().await;
+}
--- a/crates/bw-once/src/evidence.rs
+++ b/crates/bw-once/src/evidence.rs
@@ -5,8 +5,13 @@
 //! runs two suspect requests side by side, so that a second crash distinguishes the cause from the
 //! requests that were in flight with it. At [`STRIKES_MAX`] strikes a request is quarantined for
 //! [`QUARANTINE_DURATION`] after its last crash; a complete answer before that clears its strikes.
+//!
+//! Requests with the same content have one fingerprint, however many callers send them, so that several may be
+//! in flight when endpoints are lost together, whatever the cause. Crashes within [`OCCASION_LENGTH`] therefore
+//! count once against a request that was answered before.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -14,12 +19,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::parts::OCCASION_LENGTH;
 use crate::parts::QUARANTINE_DURATION;
 
 /// Crashes after which a request is quarantined.
 pub const STRIKES_MAX: usize = 2;
 /// Maximum number of fingerprints with strikes; the oldest is dropped first.
 const SUSPECTS_MAX: usize = 4_096;
+/// Maximum number of fingerprints that are remembered as answered; the oldest is dropped first.
+const ANSWERED_MAX: usize = 4_096;
 
 /// Crash of an engine, identified by its agent's incarnation and a number within the incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -50,8 +58,23 @@
 struct Strikes {
     /// The crashes, oldest first.
     crashes: Vec<CrashId>,
-    /// Time of the last one.
-    last: Duration,
+    /// Their times.
+    times: Vec<Duration>,
+}
+
+impl Strikes {
+    /// Returns the number of crashes of which each came [`OCCASION_LENGTH`] after the start of the last occasion.
+    fn occasions(&self) -> usize {
+        let mut start: Option<Duration> = None;
+        let mut count = 0;
+        for time in &self.times {
+            if start.is_none_or(|start| time.saturating_sub(start) >= OCCASION_LENGTH) {
+                start = Some(*time);
+                count += 1;
+            }
+        }
+        count
+    }
 }
 
 /// Degree to which a request is suspected of crashing endpoints.
@@ -71,6 +94,10 @@
     strikes: HashMap<u64, Strikes>,
     /// Fingerprints in the order of their first strike.
     order: VecDeque<u64>,
+    /// Fingerprints of requests that were answered.
+    answered: HashSet<u64>,
+    /// The same in the order of their first answer.
+    answered_order: VecDeque<u64>,
     /// Crashes after which a request is quarantined.
     limit: usize,
 }
@@ -89,7 +116,13 @@
 
     /// Creates a record without strikes that quarantines at `limit` crashes.
     pub fn with_limit(limit: usize) -> Self {
-        Self { strikes: HashMap::new(), order: VecDeque::new(), limit }
+        Self {
+            strikes: HashMap::new(),
+            order: VecDeque::new(),
+            answered: HashSet::new(),
+            answered_order: VecDeque::new(),
+            limit,
+        }
     }
 
     /// Records a crash. Returns true if this added a strike.
@@ -123,24 +156,46 @@
         let added = !strikes.crashes.contains(id);
         if added {
             strikes.crashes.push(id.clone());
-            strikes.last = now;
+            strikes.times.push(now);
         }
         added
     }
 
-    /// Clears the strikes of a request that was answered completely, unless it is quarantined.
-    pub fn clear(&mut self, fingerprint: u64) {
-        if self.suspicion(fingerprint) == Suspicion::Suspect {
-            self.strikes.remove(&fingerprint);
-            self.order.retain(|other| *other != fingerprint);
+    /// Records that a request was answered completely, which clears its strikes unless it is quarantined. Returns
+    /// whether it had any.
+    pub fn clear(&mut self, fingerprint: u64) -> bool {
+        let suspicion = self.suspicion(fingerprint);
+        if suspicion == Suspicion::Quarantined {
+            return false;
+        }
+        if self.answered.insert(fingerprint) {
+            self.answered_order.push_back(fingerprint);
+            while self.answered_order.len() > ANSWERED_MAX {
+                if let Some(oldest) = self.answered_order.pop_front() {
+                    self.answered.remove(&oldest);
+                }
+            }
         }
+        suspicion == Suspicion::Suspect && self.absolve(fingerprint)
+    }
+
+    /// Drops all evidence against a request that was answered at another process. Returns whether there was any.
+    pub fn absolve(&mut self, fingerprint: u64) -> bool {
+        self.order.retain(|other| *other != fingerprint);
+        self.strikes.remove(&fingerprint).is_some()
     }
 
     /// Returns the suspicion against the requests with this fingerprint.
     pub fn suspicion(&self, fingerprint: u64) -> Suspicion {
-        match self.crashes(fingerprint).len() {
+        let Some(strikes) = self.strikes.get(&fingerprint) else { return Suspicion::Clear };
+        let counted = if self.answered.contains(&fingerprint) {
+            strikes.occasions()
+        } else {
+            strikes.crashes.len()
+        };
+        match counted {
             0 => Suspicion::Clear,
-            strikes if strikes < self.limit => Suspicion::Suspect,
+            counted if counted < self.limit => Suspicion::Suspect,
             _ => Suspicion::Quarantined,
         }
     }
@@ -165,6 +220,7 @@
             let Some(strikes) = self.strikes.get_mut(fingerprint) else { continue };
             let excess = strikes.crashes.len().saturating_sub(self.limit.saturating_sub(1));
             strikes.crashes.drain(..excess);
+            strikes.times.drain(..excess);
         }
         ended
     }
@@ -175,7 +231,8 @@
     }
 
     fn ends_at(&self, fingerprint: u64) -> Option<Duration> {
-        self.strikes.get(&fingerprint).map(|strikes| strikes.last + QUARANTINE_DURATION)
+        let last = self.strikes.get(&fingerprint)?.times.iter().max()?;
+        Some(*last + QUARANTINE_DURATION)
     }
 
     /// Returns the number of fingerprints with a strike.
--- a/crates/bw-once/src/parts.rs
+++ b/crates/bw-once/src/parts.rs
@@ -20,7 +20,7 @@
 /// Occasions on which a part must have been in flight at a crash before it is quarantined.
 const OCCASIONS_MIN: usize = 3;
 /// Time within which crashes count as one occasion. They may have one cause, such as a lost rack.
-const OCCASION_LENGTH: Duration = Duration::from_millis(1_000);
+pub const OCCASION_LENGTH: Duration = Duration::from_millis(1_000);
 /// Occasions from which on a lower certainty is enough, since each further one costs an endpoint.
 const OCCASIONS_MANY: usize = 5;
 /// Greatest probability of a coincidence at which a part is quarantined that was never in an answered
--- a/crates/bw-once/tests/answer.rs
+++ b/crates/bw-once/tests/answer.rs
@@ -71,6 +71,25 @@
     );
 }
 
+/// Guards against a sound request that many callers send at once, and that is quarantined since several endpoints are
+/// lost together.
+#[test]
+fn endpoints_that_are_lost_together_count_once_against_a_request_that_was_answered() {
+    let mut evidence = Evidence::with_limit(3);
+    assert!(!evidence.clear(7), "it had no strikes");
+    for number in 1..=5 {
+        evidence.record(&crash(number, &[7, 8]), ms(u64::from(number)));
+    }
+    assert_eq!(evidence.suspicion(7), Suspicion::Suspect);
+    assert_eq!(evidence.suspicion(8), Suspicion::Quarantined, "it was never answered");
+    // Crashes one after another show that it crashes endpoints by now.
+    evidence.record(&crash(6, &[7]), ms(4_000));
+    evidence.record(&crash(7, &[7]), ms(8_000));
+    assert_eq!(evidence.suspicion(7), Suspicion::Quarantined);
+    assert!(evidence.absolve(7));
+    assert_eq!(evidence.suspicion(7), Suspicion::Clear);
+}
+
 /// No quarantine lasts for ever, and a request that still crashes endpoints costs one more after it.
 #[test]
 fn a_quarantine_ends_and_the_next_crash_starts_it_again() {
