Ask endpoints whether they are cold while the store cannot tell

They became cold without a restart while the store was silent.

Cause: such an endpoint says so in its entry, which the store could not take, and in its answers to health checks, which nobody asked for.

Nothing is asked while the store is well.

--- a/crates/bw-direct/src/cold.rs
+++ b/crates/bw-direct/src/cold.rs
@@ -36,6 +36,8 @@
 /// Time in which the endpoint list shows that an endpoint which accepts no connections has started again, unless
 /// the store is out of reach.
 const LIST_DELAY: Duration = Duration::from_secs(5);
+/// Gateways that ask an endpoint for its health while the store is silent.
+const CHECKERS: u64 = 2;
 /// Most parts of an endpoint; more make no difference to gateways that are fewer.
 const PARTS_MAX: f64 = 1_024.0;
 
@@ -69,6 +71,8 @@
     Refused,
     /// It answers after [`Self::Refused`], so that it has started meanwhile.
     Answered,
+    /// It has said itself that it stays cold for this time.
+    Said(Duration),
 }
 
 /// An endpoint whose start a gateway has seen without the list, as gateways tell each other.
@@ -104,7 +108,7 @@
     started_at: Option<Duration>,
     /// Time of the last connection that was refused since the endpoint last answered or started.
     refused_at: Option<Duration>,
-    /// Whether the last start is not known from the list.
+    /// Whether the last start, or what the endpoint says, is not known from the list.
     seen_here: bool,
     /// Permissions of the last window, oldest first; also those of before the endpoint turned cold.
     sends: VecDeque<Duration>,
@@ -225,6 +229,10 @@
                 (record.started_at, record.refused_at) = (Some(now), None);
                 record.seen_here = false;
             }
+            ColdSign::Said(time) => {
+                record.told_until = record.told_until.max(now.saturating_add(time));
+                record.seen_here = true;
+            }
             ColdSign::Refused => record.refused_at = Some(now),
             ColdSign::Answered => {
                 if record.refused_at.take().is_some() {
@@ -249,6 +257,26 @@
         news.collect()
     }
 
+    /// Returns the endpoints that this gateway has to ask whether they are cold, as `position`th of `count` live
+    /// gateways: those that may be cold and are not known to be.
+    ///
+    /// Each endpoint is asked by few gateways, however many there are, and the others hear of it.
+    pub fn to_check(&self, position: usize, count: usize, now: Duration) -> Vec<EndpointKey> {
+        let (position, count) = (position as u64, count.max(1) as u64);
+        let asks = |record: &Record| {
+            (0..CHECKERS).any(|turn| record.hash.wrapping_add(turn) % count == position)
+        };
+        let unknown =
+            |record: &Record| record.rule.is_some() && record.cold(now).is_none() && asks(record);
+        let records = self.records.iter().enumerate().filter(|(_, record)| unknown(record));
+        records.map(|(index, _)| EndpointKey::from_index(index as u32)).collect()
+    }
+
+    /// Returns whether any service has a rule.
+    pub fn has_rules(&self) -> bool {
+        !self.rules.is_empty()
+    }
+
     /// Returns whether this gateway may send a request to an endpoint.
     pub fn permission(&self, key: EndpointKey, now: Duration) -> Permission {
         let Some(record) = self.records.get(key.index()) else { return Permission::Free };
--- a/crates/bw-direct/src/endpoint.rs
+++ b/crates/bw-direct/src/endpoint.rs
@@ -193,6 +193,11 @@
         self.outages.record_answer(at);
     }
 
+    /// Returns the time since the store last answered any gateway; `None` before the first answer.
+    pub fn store_silence(&self, now: Duration) -> Option<Duration> {
+        self.outages.silence(now)
+    }
+
     /// Records that the store has returned from an older copy.
     pub fn record_store_restore(&mut self, now: Duration) {
         self.outages.record_restore(now);
--- a/crates/bw-direct/src/outage.rs
+++ b/crates/bw-direct/src/outage.rs
@@ -39,6 +39,11 @@
         self.returned_at = Some(now);
     }
 
+    /// Returns the time since the last answer; `None` before the first one.
+    pub fn silence(&self, now: Duration) -> Option<Duration> {
+        self.answered_at.map(|answered| now.saturating_sub(answered))
+    }
+
     /// Returns until when an endpoint stays usable whose entry is found missing at `now`; `None` if it has
     /// been removed.
     pub fn grace_end(&self, now: Duration) -> Option<Duration> {
--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -74,6 +74,8 @@
     ShedFor(Vec<String>),
     /// Rejects the request with 421 under the name of another endpoint.
     Misdirect,
+    /// Answers a health check with its name and the milliseconds for which it stays cold.
+    Health(u64),
     /// Runs the request and streams events up to the given number.
     Stream(u64),
     /// Runs the request, streams events up to the given number, and closes within the next one.
@@ -101,7 +103,10 @@
 impl Behaviour {
     /// Returns whether the request runs.
     fn runs(&self) -> bool {
-        !matches!(self, Self::Close | Self::Shed | Self::ShedFor(_) | Self::Misdirect)
+        !matches!(
+            self,
+            Self::Close | Self::Shed | Self::ShedFor(_) | Self::Misdirect | Self::Health(_)
+        )
     }
 }
 
@@ -389,6 +394,16 @@
                 stream.write_all(head.as_bytes()).await?;
                 return Ok(true);
             }
+            Behaviour::Health(cold) => {
+                let metadata = ReplyMetadata {
+                    endpoint: Some(self.name.clone()),
+                    cold: Some(*cold),
+                    ..metadata.clone()
+                };
+                let head = head(200, &metadata, &content_length(""));
+                stream.write_all(head.as_bytes()).await?;
+                return Ok(true);
+            }
             Behaviour::Stream(last) => {
                 self.write_events(stream, &ok_head(STREAM_HEADERS), request, *last).await?;
                 stream.write_all(b"0\r\n\r\n").await?;
--- a/crates/bw-gateway/src/app.rs
+++ b/crates/bw-gateway/src/app.rs
@@ -23,6 +23,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
 
+use crate::cold_checks::ColdChecks;
 use crate::config::Config;
 use crate::endpoints::Endpoints;
 use crate::error::GatewayError;
@@ -149,6 +150,12 @@
         metrics: gateway_metrics.clone(),
         clock,
     };
+    let cold_checks = ColdChecks {
+        config: config.clone(),
+        endpoints: endpoints.clone(),
+        peers: peers.clone(),
+        clock,
+    };
     let forwarder = Forwarder {
         config: config.clone(),
         endpoints: endpoints.clone(),
@@ -202,6 +209,7 @@
     kernel.start("endpoints", |stop| sync.follow_endpoints(stop));
     kernel.start("evacuations", |stop| evacuations.run(stop));
     kernel.start("quarantines", |stop| keeper.run(stop));
+    kernel.start("cold checks", |stop| cold_checks.run(stop));
     kernel.start("join", |stop| joiner.join(address, stop));
     kernel.start("relay", |stop| bw_http::serve(relay_listener, relay.routes(), stop));
     kernel.start("news", |stop| gossip.run(news, stop));
--- a/crates/bw-gateway/src/endpoints/cold.rs
+++ b/crates/bw-gateway/src/endpoints/cold.rs
@@ -1,5 +1,6 @@
 //! Cold endpoints, as the gateway learns of them and divides what they may get.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bw_direct::cold::ColdChange;
@@ -16,6 +17,19 @@
 use super::Endpoints;
 use super::State;
 
+/// An endpoint to ask whether it is cold.
+#[derive(Clone, Debug)]
+pub struct ColdCheck {
+    /// Key of the endpoint.
+    pub key: EndpointKey,
+    /// Name of the endpoint.
+    pub name: String,
+    /// Service of the endpoint.
+    pub service: String,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+}
+
 impl Endpoints {
     /// Sets what cold endpoints of each service may get, by the configuration and the settings in force.
     pub fn set_cold_rules(&self, catalog: &Catalog, now: Duration) {
@@ -66,6 +80,38 @@
         self.lock().observe_sign(key, ColdSign::Answered, "answer", now);
     }
 
+    /// Records that an endpoint has said that it stays cold for `remaining`.
+    pub fn record_cold(&self, key: EndpointKey, remaining: Duration, now: Duration) {
+        self.lock().observe_sign(key, ColdSign::Said(remaining), "health", now);
+    }
+
+    /// Returns whether endpoints of any service may be cold.
+    pub fn has_cold_rules(&self) -> bool {
+        self.lock().standings.cold.has_rules()
+    }
+
+    /// Returns the time since the store last answered any gateway; `None` before the first answer.
+    pub fn store_silence(&self, now: Duration) -> Option<Duration> {
+        self.lock().standings.table.store_silence(now)
+    }
+
+    /// Returns the endpoints that this gateway has to ask whether they are cold, as
+    /// [`bw_direct::cold::ColdEndpoints::to_check`].
+    pub fn cold_checks(&self, position: usize, count: usize, now: Duration) -> Vec<ColdCheck> {
+        let state = self.lock();
+        let keys = state.standings.cold.to_check(position, count, now);
+        let checks = keys.into_iter().filter_map(|key| {
+            let endpoint = &state.standings.table.get(key)?.endpoint;
+            Some(ColdCheck {
+                key,
+                name: endpoint.name.clone(),
+                service: endpoint.service.clone(),
+                address: endpoint.address,
+            })
+        });
+        checks.collect()
+    }
+
     /// Applies the cold endpoints that a peer has seen start; endpoints that are unknown, or of which this
     /// gateway knows another life, are ignored.
     pub fn receive_cold(&self, news: &[ColdNews], now: Duration) {
--- a/crates/bw-gateway/src/endpoints/mod.rs
+++ b/crates/bw-gateway/src/endpoints/mod.rs
@@ -2,7 +2,7 @@
 //! idle connections of each endpoint.
 
 mod choice;
-mod cold;
+pub mod cold;
 mod evacuations;
 mod idle;
 mod limits;
--- a/crates/bw-gateway/src/lib.rs
+++ b/crates/bw-gateway/src/lib.rs
@@ -2,6 +2,7 @@
 //! HTTP.
 
 pub mod app;
+pub mod cold_checks;
 pub mod config;
 pub mod endpoints;
 pub mod error;
--- a/crates/bw-gateway/src/peers/mod.rs
+++ b/crates/bw-gateway/src/peers/mod.rs
@@ -197,6 +197,14 @@
         state.duty.should_try(position, round, now)
     }
 
+    /// Returns this gateway's position among the live gateways by name, and their number.
+    pub fn position(&self, now: Duration) -> (usize, usize) {
+        let state = self.lock();
+        let own = &self.address.instance;
+        let before = state.peers.live(now).filter(|peer| peer.instance < *own).count();
+        (before, state.peers.live_count(now))
+    }
+
     /// Returns whether this gateway is among the first in the order of candidates for the planning duty, which
     /// also write what all gateways know.
     pub fn is_watcher(&self, now: Duration) -> bool {
--- a/crates/bw-gateway/tests/cold.rs
+++ b/crates/bw-gateway/tests/cold.rs
@@ -13,6 +13,7 @@
 use bw_direct::catalog::Draft;
 use bw_direct::endpoint::Endpoint;
 use bw_fake::endpoint::Behaviour;
+use bw_fake::platform::Faults;
 use bw_gateway::Settings;
 use common::draft;
 use common::listing;
@@ -159,3 +160,49 @@
     assert!(read("cold-overshoot = -1\n").is_err());
     assert!(read("cold-overshoot = NaN\n").is_err());
 }
+
+/// Returns what an endpoint does that says how long it stays cold.
+fn saying_cold(millis: u64) -> Behaviour {
+    Behaviour::ByPath(vec![
+        ("/health".to_string(), Behaviour::Health(millis)),
+        ("/status".to_string(), answer()),
+    ])
+}
+
+fn checks(rig: &Rig, endpoint: usize) -> usize {
+    let observed = rig.endpoints[endpoint].observed();
+    observed.requests.iter().filter(|request| request.path == "/health").count()
+}
+
+fn runs(rig: &Rig, endpoint: usize) -> usize {
+    rig.endpoints[endpoint].observed().runs.len()
+}
+
+/// Guards against endpoints that become cold while the store is silent and get as much as before, since nobody asks
+/// for the health answer that says so.
+#[tokio::test]
+async fn an_endpoint_that_turns_cold_while_the_store_is_silent_is_asked() {
+    let endpoints = [saying_cold(60_000), saying_cold(0)];
+    let first = Rig::start_adjusted(&endpoints, with_cold(8.0), strict).await;
+    let second = first.start_peer("gateway-2").await;
+    tokio::time::sleep(SETTLED).await;
+    assert_eq!((checks(&first, 0), checks(&first, 1)), (0, 0), "the store is well");
+    for rig in [&first, &second] {
+        rig.platform.set_faults(Faults { silent: true, ..Faults::default() });
+    }
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    assert!(checks(&first, 0) > 0);
+    let (before, since) = (runs(&first, 0), Instant::now());
+    for number in 0..300 {
+        assert_eq!(send(&first, number).await.status, 200);
+        assert_eq!(send(&second, number).await.status, 200);
+    }
+    let allowed = 8.0 * (since.elapsed().as_secs_f64() + 1.0);
+    let arrived = runs(&first, 0) - before;
+    assert!(arrived as f64 <= allowed, "{arrived} of {allowed:.1}");
+    // The warm one is asked a few times a second, by all gateways together, and the cold one no more.
+    let (cold, warm) = (checks(&first, 0), checks(&first, 1));
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    assert_eq!(checks(&first, 0), cold);
+    assert!((1..=8).contains(&(checks(&first, 1) - warm)));
+}
