Prove nothing by the first reads of a store that has been restored

Callers saw: a key that was taken away works again.

Cause: reads of a new era prove nothing for two seconds, but a process took the era that it saw first for an old one.

Change: a process that finds a later era than 0 takes its own reads for no proof for two seconds from its first sight of the store. Peers' proofs count at once, so that starts one after the other cost nothing. The stand-in store now begins in era 0, as one that was never restored.

--- a/crates/bw-fake/src/platform.rs
+++ b/crates/bw-fake/src/platform.rs
@@ -107,7 +107,7 @@
     /// Creates an empty store that accepts `rate` calls per second.
     pub fn new(rate: f64) -> Self {
         Self {
-            state: Arc::new(Mutex::new(State { era: 1, ..State::default() })),
+            state: Arc::default(),
             faults: Arc::default(),
             budget: Arc::new(Mutex::new(Budget::new(rate, rate))),
             started_at: Instant::now(),
--- a/crates/bw-gateway/src/config.rs
+++ b/crates/bw-gateway/src/config.rs
@@ -21,6 +21,9 @@
 /// Until then it may lack accepted versions, which the operator is writing again.
 const RESTORE_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Era of a store that has never returned from an older copy.
+const FIRST_ERA: u64 = 0;
+
 /// Maximum number of announced versions whose times are kept. The first ones matter most.
 const MISSING_MAX: usize = 64;
 
@@ -33,8 +36,11 @@
     proof: Option<Duration>,
     /// Highest era of the store that was seen; `None` before the first one.
     era: watch::Sender<Option<u64>>,
-    /// Time before which the store's configuration proves nothing, since an era has begun.
+    /// Time before which no configuration proves anything, since an era has begun.
     settled_at: Duration,
+    /// Time before which what this gateway reads proves nothing: an era after the first one, which this process has
+    /// just seen for the first time, may have begun right before.
+    reads_settled_at: Duration,
     /// A peer that has a higher version.
     ahead: Option<AheadPeer>,
     /// Versions above the one in force that peers have announced, in the order of their first
@@ -66,6 +72,7 @@
             proof: None,
             era: watch::Sender::new(None),
             settled_at: Duration::ZERO,
+            reads_settled_at: Duration::ZERO,
             ahead: None,
             missing: VecDeque::new(),
         };
@@ -104,7 +111,8 @@
             return;
         }
         // Every later version includes what was in force at an earlier proof.
-        state.record_proof(proof);
+        let settled_at = state.reads_settled_at;
+        state.record_proof(proof.filter(|proof| *proof >= settled_at));
         if known == Some(catalog.version) {
             return;
         }
@@ -129,14 +137,24 @@
     }
 
     /// Records that the store was seen in `era`, by its own answer or by that of `source`, and logs a new
-    /// era. The era that a process sees first may have begun at any time.
+    /// era. The era that a process sees first may have begun at any time, so that its own reads prove nothing for
+    /// a while; peers that prove something know when it began.
     pub fn observe_era(&self, era: u64, source: &str, now: Duration) {
         let mut state = self.lock();
         let before = *state.era.borrow();
         if before < Some(era) {
             state.era.send_replace(Some(era));
         }
-        let Some(before) = before else { return };
+        let Some(before) = before else {
+            if era > FIRST_ERA {
+                state.reads_settled_at = now + RESTORE_GRACE;
+                info!(
+                    "event=store_era_found era={era} settles_in_ms={}",
+                    RESTORE_GRACE.as_millis()
+                );
+            }
+            return;
+        };
         if era > before {
             state.settled_at = now + RESTORE_GRACE;
             info!(
@@ -178,7 +196,7 @@
     /// the store shows an older version than the one in force: it has lost accepted versions, which may
     /// be newer than both.
     pub fn prove_unchanged(&self, time: Duration) {
-        if self.is_listed() {
+        if self.is_listed() && time >= self.lock().reads_settled_at {
             let listed = self.lock().listed;
             self.prove(listed, time);
         }
--- a/crates/bw-gateway/tests/planner.rs
+++ b/crates/bw-gateway/tests/planner.rs
@@ -177,10 +177,13 @@
     draft
 }
 
-/// Starts a gateway with a group whose ranks share `group`; the senders end the ranks.
-async fn start_group(group: &FakeGroup) -> (Rig, Vec<watch::Sender<bool>>) {
-    let rig =
-        Rig::start_with(&[Behaviour::Answer(200, "fine".to_string())], draft_with_model()).await;
+/// Starts a gateway with a service whose ranks hold experts.
+async fn start_rig() -> Rig {
+    Rig::start_with(&[Behaviour::Answer(200, "fine".to_string())], draft_with_model()).await
+}
+
+/// Lists a group whose ranks share `group`; the senders end the ranks.
+async fn start_group(rig: &Rig, group: &FakeGroup) -> Vec<watch::Sender<bool>> {
     let mut ranks = Vec::new();
     for rank in 0..RANKS {
         let (address, stop) = group.start_rank(rank).await;
@@ -204,7 +207,7 @@
         rig.platform.change(|objects| objects.create(listing_object(&endpoint))).unwrap();
         ranks.push(stop);
     }
-    (rig, ranks)
+    ranks
 }
 
 /// Waits until the group's state meets a condition, at most 30 s.
@@ -225,7 +228,8 @@
 async fn a_spoiled_list_of_held_experts_is_read_again() {
     let group = FakeGroup::default();
     group.0.lock().unwrap().spoiled = 1;
-    let (rig, _ranks) = start_group(&group).await;
+    let rig = start_rig().await;
+    let _ranks = start_group(&rig, &group).await;
     // A planner that has ended prepares nothing, and its error shows at the stop.
     wait_until(&group, |state| !state.prepared.is_empty()).await;
     rig.stop().await;
@@ -243,7 +247,12 @@
     let version = Tenure::new(lost, RANKS).issue_version();
     let group = FakeGroup::default();
     group.0.lock().unwrap().switch = Some((version, 20, LOST_HOLDER as u16));
-    let (rig, _ranks) = start_group(&group).await;
+    let rig = start_rig().await;
+    let mut copy = rig.platform.snapshot();
+    let _ = copy.remove("leases", "expert-maps");
+    rig.platform.restore(copy);
+    let rig = rig.restart("gateway-2").await;
+    let _ranks = start_group(&rig, &group).await;
     wait_until(&group, |state| !state.holds.is_empty()).await;
     rig.stop().await;
     let state = group.0.lock().unwrap();
--- a/crates/bw-gateway/tests/restore.rs
+++ b/crates/bw-gateway/tests/restore.rs
@@ -284,3 +284,25 @@
     assert_eq!(entries(), 1);
     rig.stop().await;
 }
+
+/// Guards against a key that was taken away and works again at gateways that all start right after the store has
+/// returned from an older copy, while nobody is left who knows the revocation.
+#[tokio::test]
+async fn a_key_opens_nothing_at_a_gateway_that_starts_before_the_operator_has_written_again() {
+    let rig = Rig::start(&[ok_answer()]).await;
+    let snapshot = rig.platform.snapshot();
+    rig.configure(&revoked());
+    rig.wait_status("/status/1", 401).await;
+    let platform = rig.platform.clone();
+    let runs = rig.endpoints[0].observed().runs.len();
+    let started = rig.start_with_faults("gateway-2", Faults { down: true, ..Faults::default() });
+    let started = started.await;
+    rig.stop().await;
+    platform.restore(snapshot);
+    started.platform.set_faults(Faults::default());
+    assert!(!opens_until(&started, Instant::now() + REWRITE).await);
+    started.configure(&revoked());
+    started.wait_status("/status/1", 401).await;
+    assert_eq!(started.endpoints[0].observed().runs.len(), runs);
+    started.stop().await;
+}
