Tell the other gateways of a refused connection to an endpoint

Cause: an endpoint crashed and returned while the store was away. A gateway that was refused a connection kept to its parts, of which it had none, so that it saw no answer, and it told only of those. A gateway that had just started had the list of before and took the endpoint for warm.

Change: a refused connection is told like a start, in the same message. The soak's endpoints answer health checks as their entries say. A test in bw-direct asserted that nothing is told of a refusal, which was the fault; it now asserts what is told, and until when.

--- a/crates/bw-direct/src/cold.rs
+++ b/crates/bw-direct/src/cold.rs
@@ -108,7 +108,7 @@
     started_at: Option<Duration>,
     /// Time of the last connection that was refused since the endpoint last answered or started.
     refused_at: Option<Duration>,
-    /// Whether the last start, or what the endpoint says, is not known from the list.
+    /// Whether the last start or end, or what the endpoint says, is not known from the list.
     seen_here: bool,
     /// Permissions of the last window, oldest first; also those of before the endpoint turned cold.
     sends: VecDeque<Duration>,
@@ -233,7 +233,8 @@
                 record.told_until = record.told_until.max(now.saturating_add(time));
                 record.seen_here = true;
             }
-            ColdSign::Refused => record.refused_at = Some(now),
+            // A gateway that starts now has the list of before, and finds the endpoint listening again.
+            ColdSign::Refused => (record.refused_at, record.seen_here) = (Some(now), true),
             ColdSign::Answered => {
                 if record.refused_at.take().is_some() {
                     (record.started_at, record.seen_here) = (Some(now), true);
@@ -246,7 +247,7 @@
         Some(ColdChange { remaining: until.saturating_sub(now), parts, count: rule.parts })
     }
 
-    /// Returns the endpoints whose start only this gateway may have seen, with the time for which they stay cold,
+    /// Returns the endpoints of which only this gateway may know that they are cold, with the time for which they stay cold,
     /// for the news to others.
     pub fn news(&self, now: Duration) -> Vec<(EndpointKey, Duration)> {
         let seen = self.records.iter().enumerate().filter(|(_, record)| record.seen_here);
--- a/crates/bw-direct/tests/cold.rs
+++ b/crates/bw-direct/tests/cold.rs
@@ -365,7 +365,9 @@
     };
     assert!(!record(&mut cold, ColdSign::Answered, 1_000));
     assert!(record(&mut cold, ColdSign::Refused, 2_000));
-    assert!(cold.news(ms(2_000)).is_empty());
+    // A gateway that starts after the refusal would find it listening again, and take it for warm.
+    assert_eq!(cold.news(ms(2_000)), vec![(key(0), ms(8_000))]);
+    assert!(cold.news(ms(10_000)).is_empty());
     record(&mut cold, ColdSign::Answered, 60_000);
     assert_eq!(cold.news(ms(61_000)), vec![(key(0), ms(2_000))]);
     assert!(!cold.permission(key(0), ms(62_999)).allows());
--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -21,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// Largest size of a request's head, in bytes.
 const HEAD_BYTES_MAX: usize = 65_536;
@@ -74,8 +75,8 @@
     ShedFor(Vec<String>),
     /// Rejects the request with 421 under the name of another endpoint.
     Misdirect,
-    /// Answers a health check with its name and the milliseconds for which it stays cold.
-    Health(u64),
+    /// Answers a health check with this name of the endpoint and the time until which it is cold.
+    Health(String, Instant),
     /// Runs the request and streams events up to the given number.
     Stream(u64),
     /// Runs the request, streams events up to the given number, and closes within the next one.
@@ -105,7 +106,7 @@
     fn runs(&self) -> bool {
         !matches!(
             self,
-            Self::Close | Self::Shed | Self::ShedFor(_) | Self::Misdirect | Self::Health(_)
+            Self::Close | Self::Shed | Self::ShedFor(_) | Self::Misdirect | Self::Health(..)
         )
     }
 }
@@ -394,10 +395,11 @@
                 stream.write_all(head.as_bytes()).await?;
                 return Ok(true);
             }
-            Behaviour::Health(cold) => {
+            Behaviour::Health(name, until) => {
+                let cold = until.saturating_duration_since(Instant::now());
                 let metadata = ReplyMetadata {
-                    endpoint: Some(self.name.clone()),
-                    cold: Some(*cold),
+                    endpoint: Some(name.clone()),
+                    cold: Some(cold.as_millis() as u64),
                     ..metadata.clone()
                 };
                 let head = head(200, &metadata, &content_length(""));
--- a/crates/bw-gateway/tests/cold.rs
+++ b/crates/bw-gateway/tests/cold.rs
@@ -161,10 +161,11 @@
     assert!(read("cold-overshoot = NaN\n").is_err());
 }
 
-/// Returns what an endpoint does that says how long it stays cold.
-fn saying_cold(millis: u64) -> Behaviour {
+/// Returns what the endpoint of this name does that says how long it stays cold.
+fn saying_cold(name: &str, time: Duration) -> Behaviour {
+    let until = tokio::time::Instant::now() + time;
     Behaviour::ByPath(vec![
-        ("/health".to_string(), Behaviour::Health(millis)),
+        ("/health".to_string(), Behaviour::Health(name.to_string(), until)),
         ("/status".to_string(), answer()),
     ])
 }
@@ -182,7 +183,8 @@
 /// for the health answer that says so.
 #[tokio::test]
 async fn an_endpoint_that_turns_cold_while_the_store_is_silent_is_asked() {
-    let endpoints = [saying_cold(60_000), saying_cold(0)];
+    let endpoints =
+        [saying_cold("e-0", Duration::from_secs(60)), saying_cold("e-1", Duration::ZERO)];
     let first = Rig::start_adjusted(&endpoints, with_cold(8.0), strict).await;
     let second = first.start_peer("gateway-2").await;
     tokio::time::sleep(SETTLED).await;
@@ -206,3 +208,30 @@
     assert_eq!(checks(&first, 0), cold);
     assert!((1..=8).contains(&(checks(&first, 1) - warm)));
 }
+
+/// Guards against a gateway that starts while the store shows endpoints as of before, and takes one for warm that has
+/// crashed and returned.
+#[tokio::test]
+async fn a_gateway_that_starts_learns_that_an_endpoint_has_refused_connections() {
+    let first = Rig::start_adjusted(&[answer(), answer()], with_cold(1.0), strict).await;
+    tokio::time::sleep(SETTLED).await;
+    first.endpoints[0].script(Behaviour::Crash);
+    while first.endpoints[0].observed().requests.is_empty() {
+        send(&first, 0).await;
+    }
+    // Until a connection was refused.
+    for number in 0..20 {
+        send(&first, number).await;
+    }
+    let second = first.start_peer("gateway-2").await;
+    first.endpoints[0].listen_again().await.unwrap();
+    // A few rounds of news.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = arrivals(&first, 0);
+    for number in 0..200 {
+        assert_eq!(send(&second, number).await.status, 200);
+    }
+    assert_eq!(arrivals(&first, 0), before);
+    first.stop().await;
+    second.stop().await;
+}
--- a/crates/bw-soak/src/stand_ins.rs
+++ b/crates/bw-soak/src/stand_ins.rs
@@ -32,6 +32,7 @@
 use tokio::io::BufReader;
 use tokio::io::Lines;
 use tokio::io::Stdin;
+use tokio::time::Instant;
 
 use crate::check::Life;
 use crate::check::STREAM_EVENTS;
@@ -45,6 +46,8 @@
 /// Time for which an endpoint may be cold after its start.
 pub const COLD_TIME: Duration = Duration::from_secs(4);
 const SERVICE: &str = "tools";
+/// Path of health checks.
+const HEALTH: &str = "/health";
 const SLOTS: u32 = 8;
 /// Time for which an endpoint runs a request, and between two events of a stream, in milliseconds.
 const RUN_MS: u64 = 40;
@@ -133,7 +136,14 @@
 /// The operating system's error, or an order that cannot be decoded.
 pub async fn run_endpoint(life: Life) -> io::Result<()> {
     let stream = Behaviour::SlowStream(STREAM_EVENTS, RUN_MS);
-    let cases = vec![("/chat/".to_string(), stream), ("/".to_string(), Behaviour::Echo(RUN_MS))];
+    // An endpoint that has started again is cold, as its entry says.
+    let cold = if life.number > 1 { COLD_TIME } else { Duration::ZERO };
+    let health = Behaviour::Health(format!("e-{}", life.index), Instant::now() + cold);
+    let cases = vec![
+        ("/chat/".to_string(), stream),
+        (HEALTH.to_string(), health),
+        ("/".to_string(), Behaviour::Echo(RUN_MS)),
+    ];
     let name = format!("e-{}.{}", life.index, life.number);
     let endpoint = FakeEndpoint::start(&name, Behaviour::ByPath(cases)).await?;
     println!("{}", endpoint.address);
@@ -185,7 +195,7 @@
         routes: vec![safe, order, chat, route(&own, RouteKind::Safe)],
         services: vec![Service {
             name: SERVICE.to_string(),
-            health: "/health".to_string(),
+            health: HEALTH.to_string(),
             connections: 100,
             cold: Some(ColdService { rate: COLD_RATE, start: COLD_TIME }),
             engine: None,
