Continue a stream of bw-entry with events only, and end all its quarantines

Since what is no stream of events is passed on as it comes, an engine's error that answered a further attempt of a broken stream was passed on as the rest of it, and looked whole. An attempt whose answer is of another kind than what the caller has begun to receive now fails, as a broken one does.

Entries that do not write a quarantine were not woken for its end and kept it for up to an hour; they are woken by each quarantine now.

Before: stream.rs, an_error_does_not_continue_a_stream, fails without the change. After: all tests of bw-entry pass. bw-gateway is not touched.

--- a/crates/bw-entry/src/evidence.rs
+++ b/crates/bw-entry/src/evidence.rs
@@ -50,7 +50,7 @@
 pub struct SharedEvidence {
     instance: String,
     state: Arc<Mutex<State>>,
-    /// Signals that a request has to be written.
+    /// Signals that a request was quarantined.
     changed: Arc<Notify>,
     clock: BootClock,
     pool: Pool,
@@ -104,11 +104,14 @@
                 continue;
             }
             for fingerprint in &crash.fingerprints {
-                let quarantined = state.evidence.suspicion(*fingerprint) == Suspicion::Quarantined;
-                if quarantined && !state.stored.contains(fingerprint) && writes(*fingerprint) {
+                if state.evidence.suspicion(*fingerprint) != Suspicion::Quarantined {
+                    continue;
+                }
+                if !state.stored.contains(fingerprint) && writes(*fingerprint) {
                     state.unstored.insert(*fingerprint);
-                    self.changed.notify_one();
                 }
+                // Also for the time at which the quarantine ends.
+                self.changed.notify_one();
             }
             drop(state);
             warn!(
--- a/crates/bw-entry/src/requests/stream.rs
+++ b/crates/bw-entry/src/requests/stream.rs
@@ -36,6 +36,8 @@
     head_sent: bool,
     /// Whether the answer is no stream of events, such as an error, and is forwarded as it comes.
     plain: bool,
+    /// Whether the present attempt's answer is of another kind than what the caller has begun to receive.
+    unfit: bool,
     /// Bytes of an incomplete event.
     partial: Vec<u8>,
     /// Text of the answer received so far, up to [`Self::text_max`].
@@ -61,6 +63,7 @@
             original,
             head_sent: false,
             plain: false,
+            unfit: false,
             partial: Vec::new(),
             text: String::new(),
             text_max,
@@ -116,13 +119,20 @@
 
 impl Sink for EventSink {
     fn write_head(&mut self, head: &Head) {
-        self.plain = !is_event_stream(head);
+        let plain = !is_event_stream(head);
+        if !self.head_sent {
+            self.plain = plain;
+        }
+        self.unfit = plain != self.plain;
         if !self.head_sent && self.caller.try_send(Piece::Head(head.clone())).is_ok() {
             self.head_sent = true;
         }
     }
 
     async fn write(&mut self, bytes: Vec<u8>) -> Result<(), SinkError> {
+        if self.unfit {
+            return Err(SinkError::Unsound);
+        }
         if self.plain {
             // What the caller has received cannot be replaced by another endpoint's answer.
             self.done = true;
@@ -145,7 +155,7 @@
     }
 
     fn finish(&mut self) -> Result<(), SinkError> {
-        if self.partial.iter().all(u8::is_ascii_whitespace) {
+        if !self.unfit && self.partial.iter().all(u8::is_ascii_whitespace) {
             Ok(())
         } else {
             Err(SinkError::Unsound)
--- a/crates/bw-entry/tests/stream.rs
+++ b/crates/bw-entry/tests/stream.rs
@@ -81,3 +81,20 @@
     assert!(matches!(caller.try_recv(), Ok(Piece::Head(head)) if head.status == 400));
     assert!(matches!(caller.try_recv(), Ok(Piece::Bytes(bytes)) if bytes == b"{\"error\":1}"));
 }
+
+/// Guards against an engine's error that is passed on as the rest of a stream, which then looks whole.
+#[tokio::test]
+async fn an_error_does_not_continue_a_stream() {
+    let (mut sink, mut caller) = sink();
+    sink.write(event("one")).await.unwrap();
+    assert!(matches!(caller.try_recv(), Ok(Piece::Bytes(_))));
+    sink.write_head(&head(400, "application/json"));
+    assert_eq!(sink.finish(), Err(SinkError::Unsound));
+    let error = b"{\"error\":1}".to_vec();
+    assert_eq!(sink.write(error).await, Err(SinkError::Unsound));
+    assert!(caller.try_recv().is_err());
+    // A sound attempt after it goes on.
+    sink.write_head(&head(200, "text/event-stream"));
+    sink.write(event("two")).await.unwrap();
+    assert_eq!(sink.finish(), Ok(()));
+}
