--- a/review/stand_ins_3/rig.py
+++ b/review/stand_ins_3/rig.py
@@ -129,6 +129,7 @@
         self.listener.listen(512)
         self.address = "%s:%d" % self.listener.getsockname()
         self.closed = False
+        self.channels = set()
         threading.Thread(target=self.accept, daemon=True).start()
 
     def accept(self):
@@ -142,6 +143,7 @@
 
     def serve(self, connection):
         reader = connection.makefile("rb")
+        self.channels.add(connection)
         try:
             while True:
                 request = read_request(reader)
@@ -150,12 +152,22 @@
         except (OSError, ValueError):
             return
         finally:
+            self.channels.discard(connection)
             try:
                 reader.close()
                 connection.close()
             except OSError:
                 pass
 
+    def exit(self):
+        """Ends as a process does: nothing listens any more, and the open channels are closed."""
+        self.close()
+        for connection in list(self.channels):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def close(self):
         self.closed = True
         try:
@@ -574,7 +586,8 @@
             self.close()
             answer = (0, repr(error).encode(), {})
         self.rig.record.write(
-            "answer attempt=%s status=%d took_ms=%.0f" % (attempt, answer[0], (now() - sent) * 1000)
+            "answer attempt=%s status=%d took_ms=%.0f%s"
+            % (attempt, answer[0], (now() - sent) * 1000, "" if answer[0] else " error=" + answer[1].decode())
         )
         return attempt, sent, answer
 
