--- a/review/stand_ins_3/rig.py
+++ b/review/stand_ins_3/rig.py
@@ -95,13 +95,17 @@
     headers = {}
     while True:
         line = reader.readline(65536)
-        if line in (b"\r\n", b"\n", b""):
+        if not line:
+            return None
+        if line in (b"\r\n", b"\n"):
             break
         name, _, value = line.decode("latin-1").partition(":")
         headers[name.strip().lower()] = value.strip()
     body = b""
     if "content-length" in headers:
         body = reader.read(int(headers["content-length"]))
+        if len(body) < int(headers["content-length"]):
+            return None
     elif headers.get("transfer-encoding", "").lower() == "chunked":
         while True:
             size = int(reader.readline().split(b";")[0], 16)
@@ -322,6 +326,7 @@
         self.state = "ready"
         self.listed = True
         self.leaving = False
+        self.cold_until = 0.0
         self.sequence = 0
         self.on_run = None
         self.server = Server(self.handle, rig.server_ip())
@@ -337,12 +342,17 @@
             "version": "v1",
             "slots": self.slots,
             "state": self.state,
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": self.cold_ms(),
             "sequence": self.sequence,
             "born": self.born,
         }
 
+    def cold_ms(self):
+        return max(0, int((self.cold_until - now()) * 1000))
+
     def register(self):
+        if not self.rig.store.answers:
+            return None
         self.sequence += 1
         return self.rig.store.put("servers", self.id, self.entry())
 
@@ -359,7 +369,7 @@
             fields.append(("Server-Leaving", "1"))
         if request.path == "/health":
             status = 503 if self.state != "ready" else 200
-            fields = [("Instance-Id", self.id), ("Content-Length", 0)]
+            fields = [("Instance-Id", self.id), ("Cold-Ms", self.cold_ms()), ("Content-Length", 0)]
             connection.sendall(head(status, fields))
             return True
         expected = request.get("expect-instance")
