--- a/review/stand_ins_3/rig.py
+++ b/review/stand_ins_3/rig.py
@@ -194,7 +194,8 @@
 class Store:
     """Objects by kind and name, as PROTOCOL.md has them: one revision, lists, watches, conditional writes.
 
-    `answers` may be set to False: the store then leaves calls unanswered (it is down)."""
+    `answers` may be set to False: the store then leaves calls unanswered (it is down). In a drill it comes back
+    from an older copy of itself (`copy`, `restore`), and its era rises by one."""
 
     def __init__(self, ip="127.0.0.1"):
         self.changed = threading.Condition()
@@ -203,9 +204,24 @@
         self.oldest = 0
         self.revision = 100
         self.answers = True
+        self.era = 0
         self.server = Server(self.handle, ip)
         self.address = self.server.address
 
+    def copy(self):
+        with self.changed:
+            return dict(self.objects), self.revision
+
+    def restore(self, copy):
+        with self.changed:
+            self.objects, self.revision = dict(copy[0]), copy[1]
+            self.history = [one for one in self.history if one[0] <= self.revision]
+            self.era += 1
+            self.changed.notify_all()
+
+    def reply(self, connection, status, value):
+        return send_json(connection, status, value, [("Store-Era", self.era)])
+
     def put(self, kind, name, specification):
         """Writes an object whatever its revision; returns its revision, which is the ack."""
         with self.changed:
@@ -241,13 +257,13 @@
             return False
         parts = [part for part in request.path.split("/") if part]
         if parts[:2] != ["v1", "objects"] or len(parts) < 3:
-            return send_json(connection, 404, {})
+            return self.reply(connection, 404, {})
         kind, name = parts[2], parts[3] if len(parts) > 3 else None
         if request.method == "GET" and name is None and "watch" in request.query:
             return self.watch(kind, request, connection)
         with self.changed:
             reply = self.call(request, kind, name)
-        return send_json(connection, *reply)
+        return self.reply(connection, *reply)
 
     def call(self, request, kind, name):
         known = self.objects.get((kind, name))
@@ -286,21 +302,22 @@
         after = int(request.query["watch"])
         until = now() + min(int(request.query.get("wait_ms", 0)), 30000) / 1000.0
         with self.changed:
-            if after < self.oldest or after > self.revision:
-                reply = 410, {}
-            else:
-                while True:
-                    fresh = [one for one in self.history if one[0] > after and one[1] == kind]
-                    left = until - now()
-                    if fresh or left <= 0:
-                        break
-                    self.changed.wait(left)
-                events = [{"object": one[2], "deleted": one[3]} for one in fresh]
-                reply = 200, {"events": events, "at": self.revision}
+            while True:
+                # A revision that the store does not have, after a drill.
+                if after < self.oldest or after > self.revision:
+                    reply = 410, {}
+                    break
+                fresh = [one for one in self.history if one[0] > after and one[1] == kind]
+                left = until - now()
+                if fresh or left <= 0:
+                    events = [{"object": one[2], "deleted": one[3]} for one in fresh]
+                    reply = 200, {"events": events, "at": self.revision}
+                    break
+                self.changed.wait(left)
         if not self.answers:
             time.sleep(30)
             return False
-        return send_json(connection, *reply)
+        return self.reply(connection, *reply)
 
 
 # --- application servers ------------------------------------------------------------------------------------
