--- a/review/13/play.py
+++ b/review/13/play.py
@@ -1,69 +1,85 @@
-"""A server drains and leaves; meanwhile another writer writes its entry as it was before, with fields missing."""
+"""A request that crashes each server comes again and again, beside sound requests of another caller for the same path."""
 
 import os
 import sys
+import threading
 import time
 
 CASE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(CASE, "..", "stand_ins_3"))
 
-from plain import TOOLS, UNSAFE, Load, add_servers, manifest, route  # noqa: E402
-from rig import CannotRun, now, run_case  # noqa: E402
+from plain import SAFE, TOOLS, UNSAFE, Load, add_servers, manifest, route  # noqa: E402
+from rig import KEY, AppServer, CannotRun, Channel, Server, now, run_case  # noqa: E402
 
-DRAIN_S = 2.0
-DRAINS_AT_S = 5.0
-# Time after the ack of `draining` at which the other writer writes, and at which the server exits.
-FOREIGN_AFTER_S = 2.5
-EXITS_AFTER_S = 3.2
-LENGTH_S = 13.0
+CONTACT_S = 3.0
+BACK_AFTER_S = 3.0
+EVERY_S = 3.0
+LENGTH_S = 36.0
+OTHER_KEY = "anfqasnmgkcuyj8pjbvk"
+MARK = "x-report-format"
+
+
+class FragileServer(AppServer):
+    """Crashes as it begins to run a request that carries the mark, and starts again under its id."""
+
+    crashes = None
+
+    def handle(self, request, connection):
+        if request.get(MARK) is None or request.get("expect-instance") != self.id:
+            return super().handle(request, connection)
+        self.crashes.append((now(), self.id, request.get("attempt-id")))
+        self.rig.record.write("crash of %s by attempt=%s" % (self.id, request.get("attempt-id")))
+        self.listed = False
+        self.server.exit()
+        threading.Timer(BACK_AFTER_S, self.come_back).start()
+        return False
+
+    def come_back(self):
+        address, _, port = self.address.partition(":")
+        self.born = int(time.time() * 1000)
+        self.server = Server(self.handle, address, int(port))
+        self.listed = True
+        self.register()
+        self.rig.record.write("%s is back" % self.id)
 
 
 def play(new_rig):
     rig = new_rig(gateways=3)
-    servers = add_servers(rig, TOOLS, 3, "a", work_ms=30)
-    rig.configure(manifest([route(UNSAFE, "unsafe", TOOLS, 1)], [TOOLS]))
-    arrivals = []
-    leaver = servers[1]
-    leaver.on_run = lambda server, request: arrivals.append((now(), request.get("attempt-id")))
+    FragileServer.crashes = []
+    servers = [FragileServer(rig, "i-a%d" % n, TOOLS, "hall-press") for n in range(4)]
+    rig.servers.extend(servers)
+    routes = [route(SAFE, "safe", TOOLS, 2), route(UNSAFE, "unsafe", TOOLS, 1)]
+    # One tenant with two keys, as on the page: each key is another caller's.
+    rig.configure(manifest(routes, [TOOLS], keys=(KEY, OTHER_KEY)))
     rig.start_gateways()
     load = Load(rig)
-    load.start(24, "POST", UNSAFE, b"{}")
+    load.start(6, "GET", SAFE, pause_s=0.2)
+    load.start(6, "POST", UNSAFE, b"{}", pause_s=0.1)
+    time.sleep(3)
+    channels = [Channel(rig, gateway) for gateway in rig.gateways]
     started = now()
-    time.sleep(DRAINS_AT_S)
-    before = len(arrivals)
-    leaver.state = "draining"
-    leaver.register()
-    ack = now()
-    rig.record.write("ack: %s is draining" % leaver.id)
-    time.sleep(max(0.0, ack + FOREIGN_AFTER_S - now()))
-    if rig.trouble:
-        # The entry as it was, but version, cold_remaining_ms, sequence and born are missing. The server's own
-        # next beat, at most 1.2 s later, says again that it drains.
-        kept = ("service", "address", "zone", "slots")
-        entry = dict({key: leaver.entry()[key] for key in kept}, state="ready")
-        rig.record.write("foreign entry of %s" % leaver.id)
-        rig.store.put("servers", leaver.id, entry)
-    time.sleep(max(0.0, ack + EXITS_AFTER_S - now()))
-    leaver.running = leaver.listed = False
-    rig.store.delete("servers", leaver.id)
-    leaver.server.exit()
-    rig.record.write("exit of %s" % leaver.id)
-    time.sleep(max(0.0, started + LENGTH_S - now()))
+    turn = 0
+    statuses = []
+    while now() < started + LENGTH_S:
+        if rig.trouble:
+            channel = channels[turn % len(channels)]
+            _, _, answer = channel.call("GET", SAFE + "2f", b"", 1500, {MARK: "17"}, key=OTHER_KEY)
+            statuses.append(answer[0])
+        turn += 1
+        time.sleep(EVERY_S)
     load.ending.set()
     time.sleep(0.3)
-    ran = {attempt for _, attempt in arrivals}
-    lost = [attempt for attempt in sorted(ran) if load.answers.get(attempt, (0, (0,)))[1][0] != 200]
-    for attempt in lost:
-        rig.record.write("lost attempt=%s: run by %s, answered %s" % (attempt, leaver.id, load.answers.get(attempt, "")))
-    late = []
-    for at, attempt in arrivals:
-        sent = load.sent.get(attempt, (ack,))[0]
-        if at > ack + DRAIN_S and sent > ack + DRAIN_S:
-            late.append("DRAIN: attempt %s reached %s %.2f s after the ack" % (attempt, leaver.id, at - ack))
-    print("before=%d answers=%s late=%d lost=%d" % (before, load.counts(), len(late), len(lost)))
-    if before < 50:
-        raise CannotRun("the server was hardly used before")
-    return late
+    crashes = FragileServer.crashes
+    third = crashes[2][0] if len(crashes) > 2 else float("inf")
+    late = [one for one in crashes if one[0] > third + CONTACT_S]
+    text = "crashes=%d late=%d its answers=%s others' answers=%s"
+    print(text % (len(crashes), len(late), statuses, load.counts()))
+    if len(load.answers) < 500:
+        raise CannotRun("too few requests were answered")
+    if len(late) > 3:
+        line = "BUDGET: the request crashed %d servers, %d of them later than 3 s after the third"
+        return [line % (len(crashes), len(late))]
+    return []
 
 
 run_case(CASE, play)
