Recognize crashing requests by caller and headers as well

Cause: a request was recognized by one hash of workspace, path with query, and body. Look-ups of all callers that share these had one fingerprint, and an answer to any of them cleared the strikes. The log of one gateway has request_cleared reason=answered for that fingerprint 0.02 to 3 s after each crash, and no request_quarantined.

Ruled out: crashes that the check of the endpoint misses (check=Refuses each time), strikes that other gateways do not hear of (they clear them, too), and counting crashes within a second once (costs a visit, not all twelve).

Change: three fingerprints, each with strikes and a quarantine of its own: as before; with the caller's key; with method and forwarded headers, too. An answer clears those of the answered request only, and one that is quarantined is enough to refuse. A request that crashes endpoints shares with sound ones at most the fingerprints that leave out what differs, so that the others keep their strikes.

--- a/crates/bw-fake/src/endpoint.rs
+++ b/crates/bw-fake/src/endpoint.rs
@@ -64,6 +64,9 @@
     /// Runs the request; crashes as [`Self::Crash`] if its prompt has the given part, and otherwise
     /// streams two events.
     CrashOnPart(u64),
+    /// Runs the request; crashes as [`Self::Crash`] if its attempt's id has the given prefix, and otherwise
+    /// answers `fine`.
+    CrashOnAttempt(String),
     /// Closes the connection without running the request.
     Close,
     /// Runs the request and never answers.
@@ -246,6 +249,13 @@
             let behaviour = match behaviour {
                 Behaviour::CrashOnPart(part) if request.parts.contains(&part) => Behaviour::Crash,
                 Behaviour::CrashOnPart(_) => Behaviour::Stream(2),
+                Behaviour::CrashOnAttempt(prefix) => {
+                    let attempt = request.attempt.as_deref().unwrap_or_default();
+                    match attempt.starts_with(&prefix) {
+                        true => Behaviour::Crash,
+                        false => Behaviour::Answer(200, "fine".to_string()),
+                    }
+                }
                 Behaviour::Resumed(mut cases) => {
                     let index = usize::from(request.last_event.is_some());
                     cases.swap_remove(index.min(cases.len() - 1))
@@ -360,7 +370,10 @@
                 return Ok(true);
             }
             // `serve` has replaced them by what they stand for.
-            Behaviour::CrashOnPart(_) | Behaviour::ByPath(_) | Behaviour::Resumed(_) => {}
+            Behaviour::CrashOnPart(_)
+            | Behaviour::CrashOnAttempt(_)
+            | Behaviour::ByPath(_)
+            | Behaviour::Resumed(_) => {}
             Behaviour::Crash => {
                 stream.set_zero_linger()?;
                 self.crashed.notify_one();
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -157,7 +157,7 @@
                 job.record_send(&placed, Ok(()), took);
                 Ok(match answer {
                     ReceivedAnswer::Whole(whole) => {
-                        self.suspects.clear(job.fingerprint);
+                        self.suspects.clear(&job.fingerprints);
                         if whole.parts.status.is_success() {
                             self.suspects.clear_parts(&job.head);
                         }
@@ -177,7 +177,7 @@
                     self.endpoints.record_failure(key, self.clock.now());
                 }
                 if failure.broken {
-                    self.suspects.record_broken(&placed.chosen, &job.head, job.fingerprint);
+                    self.suspects.record_broken(&placed.chosen, &job.head, job.fingerprints);
                 }
                 Err(failure.end)
             }
--- a/crates/bw-gateway/src/forward/job.rs
+++ b/crates/bw-gateway/src/forward/job.rs
@@ -15,6 +15,7 @@
 use bw_direct::request::CallerHead;
 use bw_direct::urgency::Sending;
 use bw_direct::Catalog;
+use bw_model::hash::Fingerprints;
 use bytes::Bytes;
 use hyper::http::request;
 use smallvec::SmallVec;
@@ -33,9 +34,8 @@
     pub head: CallerHead,
     /// Complete body.
     pub body: Bytes,
-    /// Hash of workspace, path with query, and body, which identifies the same request under another attempt
-    /// id.
-    pub fingerprint: u64,
+    /// Hashes by which the same request is recognized under another attempt id.
+    pub fingerprints: Fingerprints,
     /// Reservation of the memory that the body occupies.
     pub _memory: OwnedSemaphorePermit,
     /// Configuration at the time of arrival.
@@ -100,7 +100,7 @@
             deadline: self.deadline.min(request.deadline),
             prompt: self.prompt(),
             exclude: self.tried.clone(),
-            fingerprint: self.fingerprint,
+            fingerprint: self.fingerprints.caller,
             ..request
         }
     }
--- a/crates/bw-gateway/src/forward/mod.rs
+++ b/crates/bw-gateway/src/forward/mod.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use bw_adapter::requests::decode_request;
+use bw_adapter::requests::hash_request_head;
 use bw_direct::attempts::Attempts;
 use bw_direct::attempts::Decision;
 use bw_direct::attempts::SendEnd;
@@ -22,6 +23,7 @@
 use bw_kernel::BootClock;
 use bw_kernel::Drain;
 use bw_model::hash::fingerprint;
+use bw_model::hash::Fingerprints;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
@@ -191,12 +193,16 @@
             body = self.read_body(body, catalog.limits.body, remaining) => body?,
         };
         let workspace_name = workspace.map_or("", |workspace| workspace.name.as_str());
-        // A request without a query has the fingerprint that earlier releases give it.
         let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
-        let fingerprint = fingerprint(workspace_name, target, &body);
+        let fingerprints = Fingerprints::new(
+            fingerprint(workspace_name, target, &body),
+            head.key.as_deref(),
+            hash_request_head(&parts),
+        );
         let shared = head.shared_parts();
         self.suspects.record_arrival(&shared);
-        if self.suspects.is_quarantined(fingerprint, &shared) {
+        if let Some(subject) = self.suspects.find_quarantine(&fingerprints, &shared) {
+            info!("event=quarantine_matched request={} subject={subject}", head.attempt);
             return Err((Refusal::Quarantined, Some(RETRY_QUARANTINED)));
         }
         let target = pick_target(&route.targets, rand::random());
@@ -214,7 +220,7 @@
             parts,
             head,
             body,
-            fingerprint,
+            fingerprints,
             _memory: memory,
             retry: None,
             tried: SmallVec::new(),
@@ -442,7 +448,7 @@
     }
 
     fn is_quarantined(&self, job: &Job) -> bool {
-        self.suspects.is_quarantined(job.fingerprint, &job.head.shared_parts())
+        self.suspects.find_quarantine(&job.fingerprints, &job.head.shared_parts()).is_some()
     }
 
     /// Takes a retry from the budget, unless the request has one that it did not use; returns whether it
--- a/crates/bw-gateway/src/forward/stream.rs
+++ b/crates/bw-gateway/src/forward/stream.rs
@@ -91,7 +91,7 @@
             let chosen = part.opened.placed.chosen.clone();
             match self.forward_part(part).await {
                 PartEnd::Complete => {
-                    self.forwarder.suspects.clear(self.job.fingerprint);
+                    self.forwarder.suspects.clear(&self.job.fingerprints);
                     self.forwarder.suspects.clear_parts(&self.job.head);
                     break COMPLETE;
                 }
@@ -107,7 +107,7 @@
                 PartEnd::Broken(reason) => {
                     self.forwarder.endpoints.record_failure(chosen.key, self.forwarder.clock.now());
                     let job = &self.job;
-                    self.forwarder.suspects.record_broken(&chosen, &job.head, job.fingerprint);
+                    self.forwarder.suspects.record_broken(&chosen, &job.head, job.fingerprints);
                     self.job.append_trace(&format!("broken:{reason}"));
                     match self.resume(None).await {
                         Some(next) => part = next,
--- a/crates/bw-gateway/src/suspects.rs
+++ b/crates/bw-gateway/src/suspects.rs
@@ -19,6 +19,7 @@
 use bw_direct::request::PartIds;
 use bw_kernel::BootClock;
 use bw_model::hash::rendezvous_weight;
+use bw_model::hash::Fingerprints;
 use bw_model::Incarnation;
 use bw_once::evidence::Suspicion;
 use bw_once::parts::CrashedRequest;
@@ -43,8 +44,10 @@
 const CRASH_WINDOW: Duration = Duration::from_millis(600);
 /// Time for which evidence is included in the news to peers.
 const NEWS_DURATION: Duration = Duration::from_secs(3);
-/// Upper bound on the suspects in the news of one datagram.
+/// Upper bound on the crashed requests, parts and quarantines in the news of one datagram.
 const NEWS_MAX: usize = 64;
+/// Upper bound on the fingerprints in the news of one datagram.
+const FINGERPRINTS_MAX: usize = 3 * NEWS_MAX;
 /// Timeout of the connection that checks whether an endpoint still listens.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -65,8 +68,8 @@
     at: Duration,
     /// The caller's id of the attempt.
     attempt: String,
-    /// Fingerprint of the request.
-    fingerprint: u64,
+    /// Fingerprints of the request.
+    fingerprints: Fingerprints,
     /// Parts of the prompt that other requests may share.
     parts: PartIds,
 }
@@ -141,22 +144,27 @@
         self.changed.notify_one();
     }
 
-    /// Returns whether a request is quarantined, by itself or by a part of its prompt, and must not be
-    /// sent.
-    pub fn is_quarantined(&self, fingerprint: u64, parts: &[u64]) -> bool {
+    /// Returns the quarantine for which a request must not be sent: that of one of its fingerprints or of a part of its
+    /// prompt.
+    pub fn find_quarantine(&self, fingerprints: &Fingerprints, parts: &[u64]) -> Option<Subject> {
         let state = self.lock();
-        state.is_quarantined(fingerprint) || state.parts.quarantined(parts).is_some()
+        let mut distinct = fingerprints.distinct().into_iter();
+        let request = distinct.find(|fingerprint| state.is_quarantined(*fingerprint));
+        let part = || state.parts.quarantined(parts).map(Subject::Part);
+        request.map(Subject::Request).or_else(part)
     }
 
-    /// Records that a request was answered completely, and removes the evidence against it, unless the request
-    /// is quarantined.
-    pub fn clear(&self, fingerprint: u64) {
+    /// Records that a request was answered completely, and removes the evidence against its fingerprints, but for
+    /// those that are quarantined.
+    pub fn clear(&self, fingerprints: &Fingerprints) {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.evidence.clear(fingerprint) {
-            info!("event=request_cleared fingerprint={fingerprint:016x} reason=answered");
-            state.recent.retain(|(_, suspect)| suspect.fingerprint != fingerprint);
-            state.cleared.push_back((now, fingerprint));
+        for fingerprint in fingerprints.distinct() {
+            if state.evidence.clear(fingerprint) {
+                info!("event=request_cleared fingerprint={fingerprint:016x} reason=answered");
+                state.recent.retain(|(_, suspect)| suspect.fingerprint != fingerprint);
+                state.cleared.push_back((now, fingerprint));
+            }
         }
     }
 
@@ -175,11 +183,16 @@
 
     /// Records that a connection broke while a request ran, and starts a check of whether the
     /// endpoint crashed.
-    pub fn record_broken(&self, chosen: &ChosenEndpoint, head: &CallerHead, fingerprint: u64) {
+    pub fn record_broken(
+        &self,
+        chosen: &ChosenEndpoint,
+        head: &CallerHead,
+        fingerprints: Fingerprints,
+    ) {
         let request = BrokenRequest {
             at: self.clock.now(),
             attempt: head.attempt.clone(),
-            fingerprint,
+            fingerprints,
             parts: head.shared_parts(),
         };
         let incarnation = (chosen.name.clone(), chosen.born);
@@ -346,7 +359,7 @@
                 fingerprint,
             })
         });
-        recent.chain(known).take(NEWS_MAX).collect()
+        recent.chain(known).take(FINGERPRINTS_MAX).collect()
     }
 
     /// Returns the recent evidence about parts of prompts for the peers, newest first.
@@ -356,7 +369,7 @@
         drop_old(&mut state.crashed, now);
         drop_old(&mut state.cleared, now);
         let crashes = state.crashed.iter().rev().take(NEWS_MAX);
-        let cleared = state.cleared.iter().rev().take(NEWS_MAX);
+        let cleared = state.cleared.iter().rev().take(FINGERPRINTS_MAX);
         let listed = if now < state.announce_until { NEWS_MAX } else { 0 };
         let quarantined = state.parts.quarantined_parts().take(listed);
         PartNews {
@@ -388,19 +401,22 @@
         );
         for request in in_flight {
             info!(
-                "event=crash_suspect endpoint={endpoint} request={} fingerprint={:016x} parts={:x?}",
-                request.attempt, request.fingerprint, request.parts
+                "event=crash_suspect endpoint={endpoint} request={} fingerprint={:016x} \
+                 caller_fingerprint={:016x} exact_fingerprint={:016x} parts={:x?}",
+                request.attempt,
+                request.fingerprints.shared,
+                request.fingerprints.caller,
+                request.fingerprints.exact,
+                request.parts
             );
-            let suspect = SuspectNews {
-                endpoint: endpoint.clone(),
-                born: *born,
-                fingerprint: request.fingerprint,
-            };
-            if state.record_strike(&suspect, "crashes", now) {
-                state.witnessed.insert(request.fingerprint);
-                self.changed.notify_one();
+            for fingerprint in request.fingerprints.distinct() {
+                let suspect = SuspectNews { endpoint: endpoint.clone(), born: *born, fingerprint };
+                if state.record_strike(&suspect, "crashes", now) {
+                    state.witnessed.insert(fingerprint);
+                    self.changed.notify_one();
+                }
+                state.recent.push_back((now, suspect));
             }
-            state.recent.push_back((now, suspect));
             // A gateway that is cut off loses many endpoints at once, whatever runs there.
             if check == Check::Refuses && !request.parts.is_empty() {
                 let crash = CrashNews {
--- a/crates/bw-once/src/evidence.rs
+++ b/crates/bw-once/src/evidence.rs
@@ -25,9 +25,9 @@
 /// Crashes after which a request is quarantined.
 pub const STRIKES_MAX: usize = 2;
 /// Maximum number of fingerprints with strikes; the oldest is dropped first.
-const SUSPECTS_MAX: usize = 4_096;
+const SUSPECTS_MAX: usize = 12_288;
 /// Maximum number of fingerprints that are remembered as answered; the oldest is dropped first.
-const ANSWERED_MAX: usize = 4_096;
+const ANSWERED_MAX: usize = 12_288;
 
 /// Crash of an engine, identified by its agent's incarnation and a number within the incarnation.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
--- a/crates/bw-platform/src/quarantines.rs
+++ b/crates/bw-platform/src/quarantines.rs
@@ -1,5 +1,7 @@
 //! Quarantines in the object store, so that they outlive the processes that know them.
 
+use std::fmt;
+
 use bw_adapter::Object;
 use bw_model::Position;
 use bw_once::CrashId;
@@ -23,11 +25,12 @@
     Request(u64),
 }
 
-impl Subject {
-    fn object_name(self) -> String {
+/// Writes the name of the quarantine's object.
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Part(part) => format!("part-{part:016x}"),
-            Self::Request(fingerprint) => format!("request-{fingerprint:016x}"),
+            Self::Part(part) => write!(f, "part-{part:016x}"),
+            Self::Request(fingerprint) => write!(f, "request-{fingerprint:016x}"),
         }
     }
 }
@@ -96,7 +99,7 @@
     /// # Errors
     /// Any [`StoreError`] but [`StoreError::Conflict`].
     pub async fn write(&self, quarantine: &Quarantine) -> Result<(), StoreError> {
-        let name = quarantine.subject().object_name();
+        let name = quarantine.subject().to_string();
         let object = Object::new(QUARANTINES, &name, 0, quarantine)?;
         match self.store.create(Purpose::Write, &object).await {
             // Another process was first.
@@ -110,6 +113,6 @@
     /// # Errors
     /// Any [`StoreError`].
     pub async fn delete(&self, subject: Subject) -> Result<(), StoreError> {
-        self.store.delete(Purpose::Write, QUARANTINES, &subject.object_name()).await
+        self.store.delete(Purpose::Write, QUARANTINES, &subject.to_string()).await
     }
 }
