Recognize crashing requests of bw-entry by caller and headers as well

Cause: calls were recognized by service, path and body alone, not even by the workspace, and chat requests by model and messages. Any answer to one of these cleared the strikes.

Change: the same three fingerprints as in bw-gateway. The agent still gets the first one, so that Dispatch keeps its form; the entry that reads the end of its attempt records all three and announces them in the list of fingerprints that Crash already has. The choice of endpoints goes by the first one as before.

--- a/crates/bw-entry/src/evidence.rs
+++ b/crates/bw-entry/src/evidence.rs
@@ -12,6 +12,7 @@
 use bw_kernel::Stop;
 use bw_link::Pool;
 use bw_model::hash::rendezvous_order;
+use bw_model::hash::Fingerprints;
 use bw_once::evidence::Suspicion;
 use bw_once::Crash;
 use bw_once::Evidence;
@@ -64,14 +65,25 @@
         Self { instance, state: Arc::default(), changed: Arc::default(), clock, pool, config }
     }
 
-    /// Returns the suspicion against a request.
+    /// Returns the strongest suspicion against the fingerprints of a request.
+    pub fn request_suspicion(&self, fingerprints: &Fingerprints) -> Suspicion {
+        let state = self.lock();
+        let all = fingerprints.distinct().into_iter();
+        let suspicions = all.map(|fingerprint| state.evidence.suspicion(fingerprint));
+        suspicions.max().unwrap_or(Suspicion::Clear)
+    }
+
+    /// Returns the suspicion against a fingerprint.
     pub fn suspicion(&self, fingerprint: u64) -> Suspicion {
         self.lock().evidence.suspicion(fingerprint)
     }
 
-    /// Clears the suspicion against a request that was answered completely.
-    pub fn clear(&self, fingerprint: u64) {
-        self.lock().evidence.clear(fingerprint);
+    /// Clears the suspicion against the fingerprints of a request that was answered completely.
+    pub fn clear(&self, fingerprints: &Fingerprints) {
+        let mut state = self.lock();
+        for fingerprint in fingerprints.distinct() {
+            state.evidence.clear(fingerprint);
+        }
     }
 
     /// Records crashes that this entry has seen and announces new ones to the other entries. Returns after
--- a/crates/bw-entry/src/requests/chat.rs
+++ b/crates/bw-entry/src/requests/chat.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use bw_model::fleet::PoolKind;
-use bw_model::hash::fingerprint;
 use bw_model::hash::prefix_blocks;
 use bw_once::Head;
 use bw_proto::Call;
@@ -25,6 +24,7 @@
 use super::context::Services;
 use super::fault::Fault;
 use super::fault::REQUEST_ID_HEADER;
+use super::identity::chat_fingerprints;
 use super::repeatable::AnswerEnd;
 use super::repeatable::Restart;
 use super::sink::Buffer;
@@ -116,7 +116,7 @@
             pool,
             workspace,
             deadline: self.routing.now() + timeout,
-            fingerprint: fingerprint(&fields.model, PATH, &prompt),
+            fingerprints: chat_fingerprints(&fields.model, token, &prompt, &call),
             blocks: prefix_blocks(&prompt, BLOCK_BYTES),
             call,
             current,
--- a/crates/bw-entry/src/requests/context.rs
+++ b/crates/bw-entry/src/requests/context.rs
@@ -10,6 +10,7 @@
 use bw_kernel::Metrics;
 use bw_model::fleet::PoolKey;
 use bw_model::fleet::WorkspaceKey;
+use bw_model::hash::Fingerprints;
 use bw_model::AttemptId;
 use bw_once::evidence::Suspicion;
 use bw_proto::agent::Dispatch;
@@ -119,8 +120,8 @@
     pub deadline: Duration,
     /// HTTP call that the endpoint runs.
     pub call: Call,
-    /// Hash of the target and the content; equal requests have equal fingerprints.
-    pub fingerprint: u64,
+    /// Hashes by which the request is recognized when it comes again.
+    pub fingerprints: Fingerprints,
     /// Hashes of the prompt's leading blocks, for prefix routing; empty for services.
     pub blocks: Vec<u64>,
 }
@@ -195,7 +196,7 @@
             pool: job.pool,
             workspace: job.workspace,
             blocks: &job.blocks,
-            fingerprint: job.fingerprint,
+            fingerprint: job.fingerprints.shared,
             exclude,
         };
         let choice = self.routing.lock().choose(&job.current.fleet, &query, now);
@@ -240,8 +241,8 @@
             workspace: job.workspace_name().to_string(),
             order: job.current.fleet.workspaces[job.workspace].order,
             limit: self.remaining_time(job).as_millis() as u64,
-            fingerprint: job.fingerprint,
-            suspect: self.evidence.suspicion(job.fingerprint) == Suspicion::Suspect,
+            fingerprint: job.fingerprints.shared,
+            suspect: self.evidence.request_suspicion(&job.fingerprints) == Suspicion::Suspect,
             once,
             call: job.call.clone(),
         }
--- a/crates/bw-entry/src/requests/mod.rs
+++ b/crates/bw-entry/src/requests/mod.rs
@@ -4,6 +4,7 @@
 pub mod chat;
 pub mod context;
 pub mod fault;
+pub mod identity;
 pub mod once;
 pub mod repeatable;
 pub mod service;
--- a/crates/bw-entry/src/requests/once.rs
+++ b/crates/bw-entry/src/requests/once.rs
@@ -102,7 +102,7 @@
     where
         T: ClaimTable,
     {
-        if self.evidence.suspicion(job.fingerprint) == Suspicion::Quarantined {
+        if self.evidence.request_suspicion(&job.fingerprints) == Suspicion::Quarantined {
             return Err(Fault::Quarantined);
         }
         let mut executor = FlowExecutor {
--- a/crates/bw-entry/src/requests/repeatable.rs
+++ b/crates/bw-entry/src/requests/repeatable.rs
@@ -61,7 +61,7 @@
         let mut exclude: Vec<String> = Vec::new();
         let mut dispatched = false;
         loop {
-            if self.evidence.suspicion(job.fingerprint) == Suspicion::Quarantined {
+            if self.evidence.request_suspicion(&job.fingerprints) == Suspicion::Quarantined {
                 return Err(Fault::Quarantined);
             }
             let admitted =
@@ -81,7 +81,7 @@
             match self.attempt(&job, &choice, admitted, sink).await {
                 AttemptEnd::Whole => {
                     self.routing.record_success(job.pool_name());
-                    self.evidence.clear(job.fingerprint);
+                    self.evidence.clear(&job.fingerprints);
                     return Ok(AnswerEnd::Whole);
                 }
                 AttemptEnd::CallerGone => return Ok(AnswerEnd::CallerGone),
@@ -168,7 +168,7 @@
             endpoint: job.current.fleet.endpoints[choice.endpoint].name.to_string(),
             incarnation: choice.incarnation,
             number,
-            fingerprints: vec![job.fingerprint],
+            fingerprints: job.fingerprints.distinct().to_vec(),
         };
         self.evidence.record(vec![crash]).await;
     }
--- a/crates/bw-entry/src/requests/service.rs
+++ b/crates/bw-entry/src/requests/service.rs
@@ -7,7 +7,6 @@
 use bw_model::fleet::CallRule;
 use bw_model::fleet::PoolKind;
 use bw_model::fleet::WorkspaceKey;
-use bw_model::hash::fingerprint;
 use bw_model::hash::hash_key;
 use bw_proto::Call;
 use bytes::Bytes;
@@ -22,6 +21,7 @@
 use super::context::Job;
 use super::context::Services;
 use super::fault::Fault;
+use super::identity::service_fingerprints;
 use super::once::KeyClaim;
 use super::once::LocalClaim;
 use super::repeatable::AnswerEnd;
@@ -31,7 +31,7 @@
 /// Time within which a caller has to send the body of its request.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Header with the idempotency key: requests with the same key run at most once.
-const KEY_HEADER: &str = "idempotency-key";
+pub const KEY_HEADER: &str = "idempotency-key";
 const KEY_BYTES_MAX: usize = 255;
 /// Path prefix of service calls.
 const PREFIX: &str = "/services/";
@@ -80,14 +80,15 @@
         let once = key.is_some() || is_once(&rules.not_repeatable, &method, &path);
         let body = self.read_request(&mut request).await?;
         let workspace_name = current.fleet.workspaces[workspace].name.to_string();
+        let call = Call { method, path, headers, body: body.to_vec() };
         let job = Job {
             id: id.to_string(),
             pool,
             workspace,
             deadline: self.routing.now() + timeout,
-            fingerprint: fingerprint(&service, &path, &body),
+            fingerprints: service_fingerprints(&service, token.as_deref(), &call),
             blocks: Vec::new(),
-            call: Call { method, path, headers, body: body.to_vec() },
+            call,
             current,
         };
         let buffer = match (once, key) {
--- a/crates/bw-once/src/evidence.rs
+++ b/crates/bw-once/src/evidence.rs
@@ -77,8 +77,8 @@
     }
 }
 
-/// Degree to which a request is suspected of crashing endpoints.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+/// Degree to which a request is suspected of crashing endpoints, in ascending order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Suspicion {
     /// The request has no strikes.
     Clear,
