Let an endpoint's failure clear no request that crashes endpoints

Cause: any whole answer removed the strikes of its request, whatever the status.

Change: only answers below 500 do, in bw-gateway and bw-entry. Parts of prompts asked for success already.

Test: an_answer_that_reports_a_failure_does_not_clear_a_request; before, the request got 500 after the third crash, now 503. The change in bw-entry has no test of its own.

--- a/crates/bw-entry/src/requests/attempt.rs
+++ b/crates/bw-entry/src/requests/attempt.rs
@@ -24,8 +24,8 @@
 /// How the reading of an answer ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadEnd {
-    /// The sink has received the complete answer.
-    Whole,
+    /// The sink has received the complete answer, which has this status.
+    Whole(u16),
     /// The endpoint failed before the answer was complete.
     Failed,
     /// The engine crashed; the number identifies the crash within the agent's incarnation.
@@ -134,7 +134,9 @@
             match assembler.end() {
                 None => {}
                 Some(End::Whole) => match sink.finish() {
-                    Ok(()) => return ReadEnd::Whole,
+                    Ok(()) => {
+                        return ReadEnd::Whole(assembler.head().map_or(0, |head| head.status))
+                    }
                     Err(error) => return self.end_of(job, error),
                 },
                 Some(End::Crashed(number)) => return ReadEnd::Crashed(number),
--- a/crates/bw-entry/src/requests/once.rs
+++ b/crates/bw-entry/src/requests/once.rs
@@ -225,7 +225,7 @@
         let end = self.services.read_answer(self.job, location, &mut self.answer).await;
         info!("event=once_read request={} attempt={} end={end:?}", self.job.id, claim.attempt);
         match end {
-            ReadEnd::Whole => Event::Ended(true),
+            ReadEnd::Whole(_) => Event::Ended(true),
             ReadEnd::Crashed(number) => {
                 if let Some(choice) = self.choice.clone() {
                     self.services.record_crash(self.job, &choice, number).await;
--- a/crates/bw-entry/src/requests/repeatable.rs
+++ b/crates/bw-entry/src/requests/repeatable.rs
@@ -19,10 +19,13 @@
 /// Pause before endpoints that refused or failed are tried again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(25);
 
+/// Lowest status of answers by which an endpoint reports a failure of its own.
+const SERVER_ERROR: u16 = 500;
+
 /// Result of one attempt.
 enum AttemptEnd {
-    /// The sink has received the complete answer.
-    Whole,
+    /// The sink has received the complete answer, which has this status.
+    Whole(u16),
     /// The attempt did not run.
     Refused(Refusal),
     /// The attempt may have run, but its answer is incomplete; holds the reason.
@@ -79,9 +82,12 @@
             };
             let endpoint = job.current.fleet.endpoints[choice.endpoint].name.to_string();
             match self.attempt(&job, &choice, admitted, sink).await {
-                AttemptEnd::Whole => {
+                AttemptEnd::Whole(status) => {
                     self.routing.record_success(job.pool_name());
-                    self.evidence.clear(&job.fingerprints);
+                    // A failure does not show that the request is sound.
+                    if status < SERVER_ERROR {
+                        self.evidence.clear(&job.fingerprints);
+                    }
                     return Ok(AnswerEnd::Whole);
                 }
                 AttemptEnd::CallerGone => return Ok(AnswerEnd::CallerGone),
@@ -143,10 +149,10 @@
         };
         drop(guard);
         match end {
-            ReadEnd::Whole => {
+            ReadEnd::Whole(status) => {
                 sent.succeed();
                 self.count_attempt("whole");
-                AttemptEnd::Whole
+                AttemptEnd::Whole(status)
             }
             ReadEnd::CallerGone => AttemptEnd::CallerGone,
             ReadEnd::Late => AttemptEnd::Late,
--- a/crates/bw-gateway/src/forward/exchange.rs
+++ b/crates/bw-gateway/src/forward/exchange.rs
@@ -157,7 +157,10 @@
                 job.record_send(&placed, Ok(()), took);
                 Ok(match answer {
                     ReceivedAnswer::Whole(whole) => {
-                        self.suspects.clear(&job.fingerprints);
+                        // A failure does not show that the request is sound.
+                        if !whole.parts.status.is_server_error() {
+                            self.suspects.clear(&job.fingerprints);
+                        }
                         if whole.parts.status.is_success() {
                             self.suspects.clear_parts(&job.head);
                         }
--- a/crates/bw-gateway/tests/suspects.rs
+++ b/crates/bw-gateway/tests/suspects.rs
@@ -11,10 +11,13 @@
 use bw_direct::catalog::Route;
 use bw_direct::catalog::RouteKind;
 use bw_direct::catalog::Workspace;
+use bw_direct::peers::SuspectNews;
 use bw_fake::endpoint::Behaviour;
 use bw_fake::endpoint::FakeEndpoint;
+use bw_model::hash::fingerprint;
 use bytes::Bytes;
 use common::draft;
+use common::news;
 use common::read_reply;
 use common::route;
 use common::Rig;
@@ -22,6 +25,7 @@
 use common::KEY;
 use http_body_util::Full;
 use hyper::Request;
+use tokio::net::UdpSocket;
 
 const OTHER_KEY: &str = "second-key-of-orders";
 /// Prefix of the attempt ids of requests that crash endpoints.
@@ -139,3 +143,26 @@
     let crashing = |_| Call::default().with_header("x-format", "17");
     check_quarantine(public(), crashing, &Call::default()).await;
 }
+
+/// Guards against a request that crashes endpoints without an end, since one of them fails it instead of crashing.
+#[tokio::test]
+async fn an_answer_that_reports_a_failure_does_not_clear_a_request() {
+    let rig = Rig::start(&[Behaviour::Answer(500, "failed".to_string())]).await;
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let strike = |number: usize| SuspectNews {
+        endpoint: format!("lost-{number}"),
+        born: 1,
+        fingerprint: fingerprint("orders", "/order/1", b"the same"),
+    };
+    for number in 0..3 {
+        let reply = rig.call("POST", "/order/1", "the same").await;
+        assert_eq!(reply.status, 500, "after {number} crashes");
+        // Another gateway has seen the crash.
+        let mut told = news("gateway-2", "a", socket.local_addr().unwrap(), 1, 1 + number as u64);
+        told.suspects = vec![strike(number)];
+        rig.send_news(&socket, &told).await;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(rig.call("POST", "/order/1", "the same").await.status, 503);
+    rig.stop().await;
+}
