List strikes below a quarantine to gateways that start

Cause: a gateway that starts was told of quarantines only. A request with one or two strikes began anew once all gateways that had seen the crashes were gone.

Test: a_gateway_that_starts_learns_of_crashes_that_do_not_suffice_for_a_quarantine; before, the third crash at the new gateway led to a 502 instead of a 503.

--- a/crates/bw-gateway/src/suspects.rs
+++ b/crates/bw-gateway/src/suspects.rs
@@ -23,6 +23,7 @@
 use bw_model::Incarnation;
 use bw_once::evidence::Suspicion;
 use bw_once::parts::CrashedRequest;
+use bw_once::parts::QUARANTINE_DURATION;
 use bw_once::Crash;
 use bw_once::Evidence;
 use bw_once::PartEvidence;
@@ -338,21 +339,22 @@
         Some(at.saturating_sub(self.clock.now()))
     }
 
-    /// Lists what is quarantined in the next news, for a peer that may not know it.
+    /// Lists what is suspected or quarantined in the next news, for a peer that may not know it.
     pub fn announce(&self) {
         self.lock().announce_until = self.clock.now() + NEWS_DURATION;
     }
 
     /// Returns the suspects of recent crashes for the news to peers, newest first; for a peer that may not
-    /// know them, also those of the crashes for which requests are quarantined.
+    /// know them, also those of the crashes behind quarantines and of crashes that still may lead to one.
     pub fn news(&self) -> Vec<SuspectNews> {
         let now = self.clock.now();
         let mut state = self.lock();
         drop_old(&mut state.recent, now);
         let recent = state.recent.iter().rev().map(|(_, suspect)| suspect.clone());
         let announced = now < state.announce_until;
-        let known = state.evidence.quarantined().filter(|_| announced);
-        let known = known.flat_map(|fingerprint| {
+        let since = now.saturating_sub(QUARANTINE_DURATION);
+        let known = state.evidence.quarantined().chain(state.evidence.suspected(since));
+        let known = known.filter(|_| announced).flat_map(|fingerprint| {
             state.evidence.crashes(fingerprint).iter().map(move |crash| SuspectNews {
                 endpoint: crash.endpoint.clone(),
                 born: crash.incarnation.0,
--- a/crates/bw-gateway/tests/suspects.rs
+++ b/crates/bw-gateway/tests/suspects.rs
@@ -166,3 +166,23 @@
     assert_eq!(rig.call("POST", "/order/1", "the same").await.status, 503);
     rig.stop().await;
 }
+
+/// Guards against a request that crashes endpoints anew after each planned replacement of gateways, since those that start
+/// learn of quarantines only.
+#[tokio::test]
+async fn a_gateway_that_starts_learns_of_crashes_that_do_not_suffice_for_a_quarantine() {
+    let rig = Rig::start(&vec![Behaviour::Crash; 6]).await;
+    for _ in 0..2 {
+        assert_eq!(rig.call("POST", "/order/1", "the same").await.status, 502);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    // Until the news of the crashes have ended.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let next = rig.start_peer("gateway-2").await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    rig.stop().await;
+    assert_eq!(next.call("POST", "/order/1", "the same").await.status, 502);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(next.call("POST", "/order/1", "the same").await.status, 503);
+    next.stop().await;
+}
--- a/crates/bw-once/src/evidence.rs
+++ b/crates/bw-once/src/evidence.rs
@@ -211,6 +211,16 @@
         fingerprints.filter(|fingerprint| self.suspicion(*fingerprint) == Suspicion::Quarantined)
     }
 
+    /// Returns the requests that have strikes, the last one at `since` or later, and are not quarantined; those that were
+    /// suspected last come first.
+    pub fn suspected(&self, since: Duration) -> impl Iterator<Item = u64> + '_ {
+        let fingerprints = self.order.iter().rev().copied();
+        fingerprints.filter(move |fingerprint| {
+            self.last_strike(*fingerprint).is_some_and(|at| at >= since)
+                && self.suspicion(*fingerprint) == Suspicion::Suspect
+        })
+    }
+
     /// Ends the quarantines that have lasted long enough, and returns their requests. All strikes but one
     /// stay, so that the next crash is enough to quarantine a request again.
     pub fn expire(&mut self, now: Duration) -> Vec<u64> {
@@ -231,8 +241,11 @@
     }
 
     fn ends_at(&self, fingerprint: u64) -> Option<Duration> {
-        let last = self.strikes.get(&fingerprint)?.times.iter().max()?;
-        Some(*last + QUARANTINE_DURATION)
+        self.last_strike(fingerprint).map(|last| last + QUARANTINE_DURATION)
+    }
+
+    fn last_strike(&self, fingerprint: u64) -> Option<Duration> {
+        self.strikes.get(&fingerprint)?.times.iter().max().copied()
     }
 
     /// Returns the number of fingerprints with a strike.
