Bind commands and reports to the rank that they are meant for

Cause: the last of two entries for one rank counted, and a command was tied to its rank by the list alone. Rank 5 carried out each command twice, and its answers counted for rank 3.

Change: commands name their endpoint, so that any other one refuses them with 421; a report has to name the group and the rank that were asked; two entries of one epoch for a rank, or two ranks at one address, leave the rank without an endpoint.

--- a/crates/bw-gateway/src/endpoints/mod.rs
+++ b/crates/bw-gateway/src/endpoints/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 pub mod cold;
 mod evacuations;
+mod groups;
 mod idle;
 mod limits;
 mod notices;
@@ -12,9 +13,7 @@
 mod reports;
 mod steps;
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -44,6 +43,8 @@
 use rand::SeedableRng;
 
 pub use self::choice::ChosenEndpoint;
+pub use self::groups::GroupView;
+pub use self::groups::ListedRank;
 pub use self::preview::Preview;
 use crate::reload::LiveSettings;
 use crate::settings::Settings;
@@ -99,36 +100,6 @@
     peer_paces: (Duration, Vec<(EndpointKey, f64)>),
 }
 
-/// A group as described by the endpoint list.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct GroupView {
-    /// Name of the group.
-    pub name: String,
-    /// Number of the group's incarnation.
-    pub epoch: u64,
-    /// Address of each rank; `None` for a rank that is not listed.
-    pub ranks: Vec<Option<SocketAddr>>,
-    open: bool,
-}
-
-impl GroupView {
-    /// Returns whether all ranks are listed and the group accepts requests.
-    pub fn is_open(&self) -> bool {
-        self.open && self.ranks.iter().all(Option::is_some)
-    }
-
-    /// Returns the address of a rank; `None` if the rank is not listed.
-    pub fn address(&self, rank: u16) -> Option<SocketAddr> {
-        self.ranks.get(usize::from(rank)).copied().flatten()
-    }
-
-    /// Returns the listed ranks with their addresses.
-    pub fn addresses(&self) -> Vec<(u16, SocketAddr)> {
-        let ranks = self.ranks.iter().enumerate();
-        ranks.filter_map(|(rank, address)| Some((rank as u16, (*address)?))).collect()
-    }
-}
-
 /// Handle to the endpoints, shared by the gateway's services.
 #[derive(Clone)]
 pub struct Endpoints {
@@ -255,28 +226,6 @@
         self.lock().standings.bar_to_send(key, drain, now)
     }
 
-    /// Returns the groups of a service, ordered by name.
-    pub fn groups(&self, service: &str, now: Duration) -> Vec<GroupView> {
-        let state = self.lock();
-        let mut groups: BTreeMap<String, GroupView> = BTreeMap::new();
-        for key in state.standings.table.usable(service, now) {
-            let Some(record) = state.standings.table.get(key) else { continue };
-            let Some(member) = &record.endpoint.member else { continue };
-            let group = groups.entry(member.group.clone()).or_insert_with(|| GroupView {
-                name: member.group.clone(),
-                epoch: 0,
-                ranks: vec![None; usize::from(member.size)],
-                open: true,
-            });
-            group.epoch = group.epoch.max(member.epoch);
-            group.open &= member.open;
-            if let Some(rank) = group.ranks.get_mut(usize::from(member.rank)) {
-                *rank = Some(record.endpoint.address);
-            }
-        }
-        groups.into_values().collect()
-    }
-
     /// Records that the answer to a request started.
     pub fn start_answer(&self, key: EndpointKey, prompt: u32) {
         self.lock().loads.start_answer(key, prompt);
--- a/crates/bw-gateway/src/planner/calls.rs
+++ b/crates/bw-gateway/src/planner/calls.rs
@@ -14,6 +14,8 @@
 use log::warn;
 use tokio::time::Instant;
 
+use crate::endpoints::ListedRank;
+
 /// Time limit for a rank's answer to a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -42,7 +44,8 @@
     address: SocketAddr,
     asked_at: Duration,
 ) -> Event {
-    let report = read(&client, address, engines::REPORT_PATH, engines::decode_report).await;
+    let decode = |body: &[u8]| engines::decode_report_of(&group, rank, body);
+    let report = read(&client, address, engines::REPORT_PATH, decode).await;
     Event::Reported(group, rank, report, asked_at)
 }
 
@@ -64,18 +67,21 @@
 }
 
 /// Sends a command to a rank and waits at most `wait` for the answer; `body` is the command encoded as
-/// an order.
+/// an order. An endpoint of another name at the address refuses it.
 pub async fn send_command(
     client: Client,
     group: String,
-    address: SocketAddr,
+    rank: ListedRank,
     command: RankCommand,
     body: Bytes,
     wait: Duration,
 ) -> Event {
     let sent_at = Instant::now();
+    let ListedRank { name, address } = rank;
     let url = format!("http://{address}{}", engines::ORDER_PATH);
-    let outcome = match client.call_encoded(Method::POST, &url, body, wait).await {
+    let recipient = Some((engines::ORDER_RECIPIENT, name.as_str()));
+    let reply = client.call_with_header(Method::POST, &url, recipient, body, wait).await;
+    let outcome = match reply {
         Ok(reply) => engines::decode_answer(reply.status),
         Err(error) => {
             warn!("event=order_unanswered rank={address} group={group} reason=\"{error}\"");
--- a/crates/bw-gateway/src/planner/group.rs
+++ b/crates/bw-gateway/src/planner/group.rs
@@ -195,7 +195,8 @@
     /// Returns the addresses of the slow ranks, with their paces.
     pub fn slow_ranks(&self) -> Vec<(SocketAddr, f64)> {
         let slow = self.paces.iter().enumerate().filter(|(_, pace)| **pace >= SLOW_PACE);
-        slow.filter_map(|(rank, pace)| Some((self.view.address(rank as u16)?, *pace))).collect()
+        slow.filter_map(|(rank, pace)| Some((self.view.rank(rank as u16)?.address, *pace)))
+            .collect()
     }
 
     /// Enters the driver's current phase, and updates the map in use.
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -368,14 +368,14 @@
             return calls;
         }
         for command in group.due_commands() {
-            let Some(address) = group.view.address(command.rank) else {
+            let Some(rank) = group.view.rank(command.rank).cloned() else {
                 group.driver.handle_outcome(&command, CommandOutcome::Unknown);
                 continue;
             };
             let body = match group.encode_order(&command) {
                 Ok(body) => body,
                 Err(error) => {
-                    warn!("event=order_unsent rank={address} reason=\"{error}\"");
+                    warn!("event=order_unsent rank={} reason=\"{error}\"", rank.address);
                     continue;
                 }
             };
@@ -385,7 +385,7 @@
                 group.patience.wait()
             };
             let (client, name) = (client.clone(), group.view.name.clone());
-            calls.push(Box::pin(send_command(client, name, address, command, body, wait)));
+            calls.push(Box::pin(send_command(client, name, rank, command, body, wait)));
         }
         calls
     }
--- a/crates/bw-gateway/tests/planner.rs
+++ b/crates/bw-gateway/tests/planner.rs
@@ -12,6 +12,7 @@
 use bw_adapter::engines::RankReport;
 use bw_adapter::engines::COUNTS_PATH;
 use bw_adapter::engines::ORDER_PATH;
+use bw_adapter::engines::ORDER_RECIPIENT;
 use bw_adapter::engines::REPORT_PATH;
 use bw_adapter::stand_in::endpoint::listing_object;
 use bw_adapter::stand_in::rank::decode_order;
@@ -60,6 +61,8 @@
     reads: u64,
     /// Number of lists of held experts that are still to be spoiled.
     spoiled: u32,
+    /// Ranks that accepted a command, in the order of the commands.
+    accepted: Vec<u16>,
     /// Maps that ranks were told to prepare.
     prepared: Vec<Vec<Placement>>,
     /// A switch of another driver: the version that all ranks are armed with, the first step that uses it,
@@ -83,6 +86,10 @@
             async move {
                 let body = request.bytes().await.unwrap();
                 let path = request.uri().path_and_query().unwrap().to_string();
+                let recipient = request.headers().get(ORDER_RECIPIENT);
+                if recipient.is_some_and(|name| name != rank_name(rank).as_str()) {
+                    return Ok(text_reply(StatusCode::MISDIRECTED_REQUEST, String::new()));
+                }
                 Ok(group.answer(rank, &path, &body))
             }
         };
@@ -122,6 +129,7 @@
             }
             ORDER_PATH => {
                 if let Some((order, map)) = decode_order(rank, body) {
+                    state.accepted.push(rank);
                     match order.command {
                         Command::Prepare(_) => state.prepared.push(map),
                         Command::Hold(_) => state.holds.push(order.rank),
@@ -182,34 +190,45 @@
     Rig::start_with(&[Behaviour::Answer(200, "fine".to_string())], draft_with_model()).await
 }
 
+fn rank_name(rank: u16) -> String {
+    format!("rank-{rank}")
+}
+
+/// Returns the list entry of a rank.
+fn rank_listing(rank: u16, address: SocketAddr) -> Endpoint {
+    Endpoint {
+        name: rank_name(rank),
+        service: MODEL.to_string(),
+        address,
+        centre: "a".to_string(),
+        slots: 4,
+        phase: Phase::Ready,
+        cold: Duration::ZERO,
+        born: 1,
+        member: Some(Member { group: "g".to_string(), epoch: 1, rank, size: RANKS, open: true }),
+    }
+}
+
 /// Lists a group whose ranks share `group`; the senders end the ranks.
 async fn start_group(rig: &Rig, group: &FakeGroup) -> Vec<watch::Sender<bool>> {
     let mut ranks = Vec::new();
-    for rank in 0..RANKS {
-        let (address, stop) = group.start_rank(rank).await;
-        let endpoint = Endpoint {
-            name: format!("rank-{rank}"),
-            service: MODEL.to_string(),
-            address,
-            centre: "a".to_string(),
-            slots: 4,
-            phase: Phase::Ready,
-            cold: Duration::ZERO,
-            born: 1,
-            member: Some(Member {
-                group: "g".to_string(),
-                epoch: 1,
-                rank,
-                size: RANKS,
-                open: true,
-            }),
-        };
+    for (endpoint, stop) in start_ranks(group).await {
         rig.platform.change(|objects| objects.create(listing_object(&endpoint))).unwrap();
         ranks.push(stop);
     }
     ranks
 }
 
+/// Starts all ranks, and returns the list entry of each with the sender that ends it.
+async fn start_ranks(group: &FakeGroup) -> Vec<(Endpoint, watch::Sender<bool>)> {
+    let mut ranks = Vec::new();
+    for rank in 0..RANKS {
+        let (address, stop) = group.start_rank(rank).await;
+        ranks.push((rank_listing(rank, address), stop));
+    }
+    ranks
+}
+
 /// Waits until the group's state meets a condition, at most 30 s.
 async fn wait_until<C>(group: &FakeGroup, condition: C)
 where
@@ -259,3 +278,41 @@
     assert_eq!(state.holds.first(), Some(&2));
     assert!(!state.holds.contains(&1), "{:?}", state.holds);
 }
+
+/// Guards against a map that is switched at all ranks but one, since an entry of another writer names that rank at the
+/// address of another one.
+#[tokio::test]
+async fn a_rank_gets_no_commands_for_another_one() {
+    let group = FakeGroup::default();
+    let rig = start_rig().await;
+    let ranks = start_ranks(&group).await;
+    for (endpoint, _) in &ranks {
+        rig.platform.change(|objects| objects.create(listing_object(endpoint))).unwrap();
+    }
+    // From here on the planner knows the map in use; it plans another one after further reads.
+    wait_until(&group, |state| state.reads > 0).await;
+    let foreign = Endpoint { name: "foreign".to_string(), ..rank_listing(3, ranks[5].0.address) };
+    rig.platform.change(|objects| objects.create(listing_object(&foreign))).unwrap();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let accepted = group.0.lock().unwrap().accepted.clone();
+    assert!(!accepted.contains(&5), "{accepted:?}");
+    rig.stop().await;
+}
+
+/// Guards against a command that another endpoint carries out, whose address a list entry names for the rank.
+#[tokio::test]
+async fn a_command_names_the_endpoint_that_it_is_meant_for() {
+    let group = FakeGroup::default();
+    let rig = start_rig().await;
+    let ranks = start_ranks(&group).await;
+    for (number, (endpoint, _)) in ranks.iter().enumerate() {
+        let name = if number == 3 { "foreign".to_string() } else { endpoint.name.clone() };
+        let endpoint = Endpoint { name, ..endpoint.clone() };
+        rig.platform.change(|objects| objects.create(listing_object(&endpoint))).unwrap();
+    }
+    wait_until(&group, |state| state.accepted.len() >= usize::from(RANKS) - 1).await;
+    rig.stop().await;
+    let state = group.0.lock().unwrap();
+    assert!(!state.accepted.is_empty());
+    assert!(!state.accepted.contains(&3), "{:?}", state.accepted);
+}
--- a/crates/bw-http/src/client.rs
+++ b/crates/bw-http/src/client.rs
@@ -8,6 +8,7 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::header::ACCEPT_ENCODING;
 use hyper::header::CONTENT_ENCODING;
 use hyper::HeaderMap;
@@ -158,9 +159,27 @@
         url: &str,
         bytes: Bytes,
         limit: Duration,
+    ) -> Result<Reply, ClientError> {
+        self.call_with_header(method, url, None, bytes, limit).await
+    }
+
+    /// Sends a request as [`Client::call_encoded`] does, with one more header.
+    ///
+    /// # Errors
+    /// As [`Client::call`].
+    pub async fn call_with_header(
+        &self,
+        method: Method,
+        url: &str,
+        header: Option<(HeaderName, &str)>,
+        bytes: Bytes,
+        limit: Duration,
     ) -> Result<Reply, ClientError> {
         let mut request =
             Request::builder().method(method).uri(url).header("content-type", "application/json");
+        if let Some((name, value)) = header {
+            request = request.header(name, value);
+        }
         if self.accepts_gzip {
             request = request.header(ACCEPT_ENCODING, GZIP);
         }
