--- a/crates/bw-gateway/tests/entries.rs
+++ b/crates/bw-gateway/tests/entries.rs
@@ -65,6 +65,10 @@
         ("slots", Some(json!("four"))),
         ("slots", Some(json!(-1))),
         ("cold_remaining_ms", Some(json!("long"))),
+        ("cold_remaining_ms", None),
+        ("version", None),
+        ("sequence", Some(json!("many"))),
+        ("sequence", None),
         ("born", Some(json!(1.5))),
         ("group", Some(json!("\u{fffd}\u{0}"))),
     ];
@@ -100,3 +104,24 @@
     wait_used(&rig, true, "the next life is used").await;
     rig.stop().await;
 }
+
+/// Guards against requests of a wrong service that an endpoint runs, since another writer has left an entry with fields
+/// missing under its name.
+#[tokio::test]
+async fn an_endpoint_gets_no_requests_of_a_service_that_an_incomplete_entry_names() {
+    let answer = Behaviour::Answer(200, "done".to_string());
+    let rig = Rig::start(&[answer.clone(), answer]).await;
+    let other = Endpoint { service: "other".to_string(), ..listing(&rig.endpoints[0]) };
+    let written = listing_object(&other);
+    rig.platform.change(|objects| objects.replace(written.clone())).unwrap();
+    wait_used(&rig, false, "the endpoint is of another service").await;
+    let mut foreign = listing_object(&listing(&rig.endpoints[0]));
+    let fields = foreign.content.as_object_mut().unwrap();
+    for field in ["version", "cold_remaining_ms", "sequence", "born"] {
+        fields.remove(field);
+    }
+    rig.platform.change(|objects| objects.replace(foreign)).unwrap();
+    sleep(Duration::from_millis(500)).await;
+    assert_eq!(share(&rig).await, 0);
+    rig.stop().await;
+}
