Hold a reported leaving over the list of an older copy of the store

Cause: the list of a new era replaced what was known of each endpoint.

Change: a gateway remembers which endpoints had reported their leaving when it finds the new era, with the position of the copy's list. A ready entry of the same life that was written no later counts as the report. What the endpoint writes next is believed.

Open: a gateway that starts between the restore and the endpoint's next entry.

--- a/crates/bw-direct/src/endpoint.rs
+++ b/crates/bw-direct/src/endpoint.rs
@@ -7,6 +7,7 @@
 use bw_model::arena_key;
 use bw_model::Arena;
 use bw_model::Key;
+use bw_model::Position;
 
 use crate::outage::StoreOutages;
 
@@ -108,6 +109,9 @@
     names: HashMap<String, EndpointKey>,
     services: HashMap<String, Vec<EndpointKey>>,
     outages: StoreOutages,
+    /// Endpoints that had reported their leaving before the store returned from an older copy, with the position of the
+    /// copy's list.
+    left_before: HashMap<EndpointKey, Position>,
 }
 
 impl Table {
@@ -198,9 +202,19 @@
         self.outages.silence(now)
     }
 
-    /// Records that the store has returned from an older copy.
-    pub fn record_store_restore(&mut self, now: Duration) {
+    /// Records that the store has returned from an older copy, whose list was read at `position`.
+    pub fn record_store_restore(&mut self, position: Position, now: Duration) {
         self.outages.record_restore(now);
+        let leaving = self.records.iter().filter(|(_, one)| one.endpoint.phase == Phase::Leaving);
+        self.left_before.extend(leaving.map(|(key, _)| (key, position)));
+    }
+
+    /// Returns whether an entry that was written at `written` is an older copy's of an endpoint that has reported its
+    /// leaving since. The endpoint's own next entry, or that of its next life, is believed.
+    pub fn is_outdated(&self, endpoint: &Endpoint, written: Position) -> bool {
+        let Some(key) = self.find(&endpoint.name) else { return false };
+        let same_life = self.records[key].endpoint.born == endpoint.born;
+        same_life && self.left_before.get(&key).is_some_and(|copied| written <= *copied)
     }
 
     /// Adds or updates an endpoint from the list.
--- a/crates/bw-direct/tests/outage.rs
+++ b/crates/bw-direct/tests/outage.rs
@@ -10,6 +10,7 @@
 use bw_direct::endpoint::Table;
 use bw_direct::outage::LAPSE_GRACE;
 use bw_direct::outage::OUTAGE_MIN;
+use bw_model::Position;
 
 fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -87,7 +88,7 @@
 #[test]
 fn entries_that_a_restored_store_lacks_stay_usable_for_the_grace_time() {
     let mut table = table(10_000);
-    table.record_store_restore(ms(10_100));
+    table.record_store_restore(Position::new(1, 7), ms(10_100));
     assert_eq!(table.remove("e", ms(10_100)), EndpointChange::Lapsed);
     assert!(!is_usable(&table, ms(10_100) + LAPSE_GRACE));
 }
--- a/crates/bw-gateway/src/endpoints/mod.rs
+++ b/crates/bw-gateway/src/endpoints/mod.rs
@@ -38,6 +38,7 @@
 use bw_http::Channel;
 use bw_model::hash::rendezvous_weight;
 use bw_model::Key;
+use bw_model::Position;
 use log::info;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
@@ -176,9 +177,14 @@
         self.lock().standings.table.record_store_answer(at);
     }
 
-    /// Records that the store has returned from an older copy.
-    pub fn record_store_restore(&self, now: Duration) {
-        self.lock().standings.table.record_store_restore(now);
+    /// Records that the store has returned from an older copy, whose list was read at `position`.
+    pub fn record_store_restore(&self, position: Position, now: Duration) {
+        self.lock().standings.table.record_store_restore(position, now);
+    }
+
+    /// Returns whether an entry that was written at `written` is an older copy's, as [`Table::is_outdated`] tells.
+    pub fn is_outdated(&self, endpoint: &Endpoint, written: Position) -> bool {
+        self.lock().standings.table.is_outdated(endpoint, written)
     }
 
     /// Returns the number of endpoints ever listed.
--- a/crates/bw-gateway/src/sync/endpoints.rs
+++ b/crates/bw-gateway/src/sync/endpoints.rs
@@ -8,6 +8,7 @@
 use bw_adapter::objects::Change;
 use bw_adapter::Object;
 use bw_direct::endpoint::Endpoint;
+use bw_direct::endpoint::Phase;
 use bw_direct::outage::LAPSE_GRACE;
 use bw_kernel::Stop;
 use bw_model::Position;
@@ -146,15 +147,16 @@
         if position < known && !(feed.is_store() && position.era() == known.era()) {
             return Err(StoreError::Unavailable("the list is older".to_string()));
         }
-        let decoded = list.iter().filter_map(decode_entry).collect();
         let now = self.clock.now();
         self.config.observe_era(position.era(), "endpoints", now);
         let is_first = known == Position::default();
         if position.era() > known.era() && !is_first {
             info!("event=store_restored position={position} known={known}");
             // Entries that are missing from the older copy return if their endpoints live.
-            self.endpoints.record_store_restore(now);
+            self.endpoints.record_store_restore(position, now);
         }
+        let decoded = list.iter().filter_map(|entry| self.read_entry(entry, position.era()));
+        let decoded = decoded.collect();
         if feed.is_store() {
             self.endpoints.record_store_answer(now);
         }
@@ -172,7 +174,8 @@
             self.endpoints.record_store_answer(now);
         }
         for change in &changes {
-            let entry = if change.removed { None } else { decode_entry(&change.object) };
+            let read = || self.read_entry(&change.object, position.era());
+            let entry = if change.removed { None } else { read() };
             match entry {
                 Some(endpoint) => self.endpoints.upsert(endpoint, now),
                 None => {
@@ -182,6 +185,18 @@
         }
         self.relay.apply(listing::KIND, changes, position);
     }
+
+    /// Decodes an entry that was read in `era`. One that the store has from before the endpoint reported its leaving
+    /// counts as that report.
+    fn read_entry(&self, object: &Object, era: u64) -> Option<Endpoint> {
+        let endpoint = decode_entry(object)?;
+        let written = Position::new(era, object.revision);
+        if endpoint.phase == Phase::Ready && self.endpoints.is_outdated(&endpoint, written) {
+            info!("event=entry_outdated endpoint={} written={written}", endpoint.name);
+            return Some(Endpoint { phase: Phase::Leaving, ..endpoint });
+        }
+        Some(endpoint)
+    }
 }
 
 /// Decodes an entry; returns `None` for an unreadable one, which names no usable endpoint.
--- a/crates/bw-gateway/tests/restore.rs
+++ b/crates/bw-gateway/tests/restore.rs
@@ -169,6 +169,38 @@
     rig.stop().await;
 }
 
+/// Guards against requests to a leaving endpoint, whose report the restored store has lost.
+#[tokio::test]
+async fn an_endpoint_that_has_reported_its_leaving_is_not_used_by_the_list_of_an_older_copy() {
+    let rig = Rig::start(&[ok_answer(), ok_answer()]).await;
+    let follower = rig.start_peer("gateway-2").await;
+    let snapshot = rig.platform.snapshot();
+    let leaving = Endpoint { phase: Phase::Leaving, ..listing(&rig.endpoints[0]) };
+    rig.platform.change(|objects| objects.replace(listing_object(&leaving))).unwrap();
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    rig.platform.restore(snapshot);
+    // Until the gateways have read the copy's list, and less than an endpoint takes to write again.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let reached = || rig.endpoints[0].observed().requests.len();
+    let before = reached();
+    for _ in 0..10 {
+        assert_eq!(rig.call("GET", "/status/1", "").await.status, 200);
+        assert_eq!(follower.call("GET", "/status/1", "").await.status, 200);
+    }
+    assert_eq!(reached(), before);
+    // What the endpoint itself writes in the new era is believed.
+    let ready = Endpoint { slots: 5, ..listing(&rig.endpoints[0]) };
+    rig.platform.change(|objects| objects.replace(listing_object(&ready))).unwrap();
+    let used = async {
+        while reached() == before {
+            rig.call("GET", "/status/1", "").await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(5), used).await.unwrap();
+    rig.stop().await;
+    follower.stop().await;
+}
+
 /// A gateway that starts between the restore and the operator's next write gets the newer configuration
 /// from a peer that has it in force.
 #[tokio::test]
