--- a/crates/bw-once/src/evidence.rs
+++ b/crates/bw-once/src/evidence.rs
@@ -6,8 +6,8 @@
 //! requests that were in flight with it. At [`STRIKES_MAX`] strikes a request is quarantined for
 //! [`QUARANTINE_DURATION`] after its last crash; a complete answer before that clears its strikes.
 //!
-//! Requests with the same content have one fingerprint, however many callers send them, so that several may be
-//! in flight when endpoints are lost together, whatever the cause. Crashes within [`OCCASION_LENGTH`] therefore
+//! Requests of many callers may share a fingerprint, so that several may be in flight when endpoints are lost
+//! together, whatever the cause. Crashes within [`OCCASION_LENGTH`] therefore
 //! count once against a request that was answered before.
 
 use std::collections::HashMap;
