--- a/crates/bw-gateway/src/planner/calls.rs
+++ b/crates/bw-gateway/src/planner/calls.rs
@@ -14,8 +14,6 @@
 use log::warn;
 use tokio::time::Instant;
 
-use crate::endpoints::ListedRank;
-
 /// Time limit for a rank's answer to a read.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -33,6 +31,14 @@
     Planned(String, MapPlan),
 }
 
+/// The endpoint that a command is meant for.
+pub struct Recipient {
+    /// Name of the endpoint.
+    pub name: String,
+    /// Address of the endpoint.
+    pub address: SocketAddr,
+}
+
 /// A pending call to a rank, or the computation of a plan.
 pub type Call = futures::future::BoxFuture<'static, Event>;
 
@@ -71,13 +77,13 @@
 pub async fn send_command(
     client: Client,
     group: String,
-    rank: ListedRank,
+    recipient: Recipient,
     command: RankCommand,
     body: Bytes,
     wait: Duration,
 ) -> Event {
     let sent_at = Instant::now();
-    let ListedRank { name, address } = rank;
+    let Recipient { name, address } = recipient;
     let url = format!("http://{address}{}", engines::ORDER_PATH);
     let recipient = Some((engines::ORDER_RECIPIENT, name.as_str()));
     let reply = client.call_with_header(Method::POST, &url, recipient, body, wait).await;
--- a/crates/bw-gateway/src/planner/mod.rs
+++ b/crates/bw-gateway/src/planner/mod.rs
@@ -34,6 +34,7 @@
 use self::calls::send_command;
 use self::calls::Call;
 use self::calls::Event;
+use self::calls::Recipient;
 use self::group::Group;
 use self::group::Sampling;
 use crate::config::Config;
@@ -368,7 +369,7 @@
             return calls;
         }
         for command in group.due_commands() {
-            let Some(rank) = group.view.rank(command.rank).cloned() else {
+            let Some(rank) = group.view.rank(command.rank) else {
                 group.driver.handle_outcome(&command, CommandOutcome::Unknown);
                 continue;
             };
@@ -385,7 +386,9 @@
                 group.patience.wait()
             };
             let (client, name) = (client.clone(), group.view.name.clone());
-            calls.push(Box::pin(send_command(client, name, rank, command, body, wait)));
+            let recipient =
+                Recipient { name: self.endpoints.name(rank.key), address: rank.address };
+            calls.push(Box::pin(send_command(client, name, recipient, command, body, wait)));
         }
         calls
     }
